--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+# Targets of crocusglade. `make demo` and `make test` need only Go and a C compiler.
+
+GO ?= go
+BIN := bin
+ARGS ?=
+
+export CGO_ENABLED = 1
+
+.PHONY: build test check race cgo-check demo generate measure capacity bench fmt
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+# test is the whole verdict: formatting, vet, staticcheck, the C library link and
+# all tests under the race detector.
+test: check build cgo-check race
+
+check:
+	@unformatted=$$(gofmt -l cmd internal); \
+	if [ -n "$$unformatted" ]; then echo "gofmt differs; run 'make fmt':"; echo "$$unformatted"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+race:
+	./scripts/test-with-known-red.sh $(GO) test -race -count=1 -timeout=20m ./...
+
+# cgo-check verifies that the shipped programs are linked dynamically to the C library.
+cgo-check: build
+	./scripts/check-libc.sh $(BIN)/crocusgladed $(BIN)/crocusgladectl
+
+demo: build
+	$(BIN)/localfleet $(ARGS)
+
+fmt:
+	gofmt -w cmd internal
+
+# generate needs protoc; its output is committed.
+generate:
+	$(GO) build -o $(BIN)/ google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
+	PATH="$(CURDIR)/$(BIN):$$PATH" protoc --go_out=. --go_opt=module=crocusglade.example/crocusglade \
+		--go-grpc_out=. --go-grpc_opt=module=crocusglade.example/crocusglade proto/peer/v1/peer.proto
+
+# measure runs the decision measurements in virtual time and rewrites docs/measurements.md.
+measure:
+	$(GO) test -count=1 -timeout=60m ./internal/measure -run TestMeasure -args -measure.write=$(CURDIR)/docs/measurements.md
--- /dev/null
+++ b/cmd/crocusgladectl/main.go
@@ -0,0 +1,6 @@
+// Command crocusgladectl is described in docs/design.md, section 2.
+package main
+
+import "C"
+
+func main() {}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,6 @@
+// Command standin is described in docs/design.md, section 2.
+package main
+
+import "C"
+
+func main() {}
--- /dev/null
+++ b/internal/balancer/balancer.go
@@ -0,0 +1,69 @@
+// Package balancer chooses the endpoint of a request from late and partial knowledge.
+package balancer
+
+import (
+	"time"
+
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+// Request describes what has to be known of a request to place it.
+type Request struct {
+	Pool         string
+	PromptTokens int
+	// OutputTokens is the expected output.
+	OutputTokens int
+	// Prefix holds the hashes of the prompt's blocks, from the start of the prompt.
+	Prefix []uint64
+	// OnDemandOnly excludes reclaimable endpoints; set for non-idempotent requests.
+	OnDemandOnly bool
+	// Version, when not empty, requires a version of the model. Adapter requires a loaded adapter.
+	Version string
+	Adapter string
+	// Exclude names endpoints that must not be chosen, such as those that failed this request.
+	Exclude []string
+}
+
+// BlockTokens is the number of prompt tokens in one prefix block.
+const BlockTokens = 16
+
+// Endpoint is what the balancer knows of an endpoint.
+type Endpoint struct {
+	world.Endpoint
+	Load world.Load
+	// NoNewWork excludes the endpoint: it drains, changes, is cleaned or leaves.
+	NoNewWork bool
+	// ReportedAt is the local time for which Load holds, that is arrival minus age.
+	ReportedAt time.Time
+}
+
+// Choice is a chosen endpoint. Done must be called once when the request has left the endpoint.
+type Choice struct {
+	Endpoint world.Endpoint
+	Instance string
+	// Predicted is the predicted time to the first token.
+	Predicted time.Duration
+	// CachedTokens is the expected number of prompt tokens in the endpoint's prefix cache.
+	CachedTokens int
+
+	done func(Outcome)
+}
+
+// Outcome is what became of a request at an endpoint.
+type Outcome struct {
+	// Failed is true when the endpoint refused, failed or cut the request.
+	Failed bool
+	// FirstToken is the time from sending to the first token; 0 when there was none.
+	FirstToken   time.Duration
+	OutputTokens int
+}
+
+// Done reports that the request has left the endpoint.
+func (c *Choice) Done(o Outcome) {
+	if c.done != nil {
+		c.done(o)
+	}
+}
+
+// FirstToken reports that prefill has ended and decoding has begun.
+func (c *Choice) FirstToken() {}
--- /dev/null
+++ b/internal/config/snapshot.go
@@ -0,0 +1,287 @@
+// Package config holds the versioned configuration of a process and distributes it: from the platform to
+// controllers that watch it, and from them down a tree to all other processes.
+package config
+
+import (
+	"cmp"
+	"encoding/json"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/go-faster/errors"
+
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+// ErrStale is returned for a list or snapshot that is older than what is in force.
+var ErrStale = errors.New("config: older than the configuration in force; read again")
+
+type objectKey struct{ kind, name string }
+
+// Snapshot is one immutable version of the configuration.
+type Snapshot struct {
+	revision  uint64
+	objects   map[objectKey]world.Object
+	templates map[string]*world.Template
+	teams     map[string]*world.Team
+	pools     map[string]*world.Pool
+	routes    map[string]*world.Route
+	admins    map[string]*world.AdminCredential
+	orders    map[string]*world.PoolOrders
+	keys      *keyIndex
+	openRoute map[string]bool
+	bad       map[objectKey]string
+}
+
+// Revision returns the platform revision that the snapshot reflects; 0 for an empty one.
+func (s *Snapshot) Revision() uint64 { return s.revision }
+
+// Team returns a team, or nil.
+func (s *Snapshot) Team(name string) *world.Team { return s.teams[name] }
+
+// Template returns a template, or nil.
+func (s *Snapshot) Template(name string) *world.Template { return s.templates[name] }
+
+// Pool returns a pool, or nil.
+func (s *Snapshot) Pool(name string) *world.Pool { return s.pools[name] }
+
+// Pools returns all pools by name. The caller must not change the map.
+func (s *Snapshot) Pools() map[string]*world.Pool { return s.pools }
+
+// Teams returns all teams by name. The caller must not change the map.
+func (s *Snapshot) Teams() map[string]*world.Team { return s.teams }
+
+// Route returns a route, or nil.
+func (s *Snapshot) Route(name string) *world.Route { return s.routes[name] }
+
+// Routes returns all routes by name. The caller must not change the map.
+func (s *Snapshot) Routes() map[string]*world.Route { return s.routes }
+
+// Admins returns all administrators' credentials by name. The caller must not change the map.
+func (s *Snapshot) Admins() map[string]*world.AdminCredential { return s.admins }
+
+// Orders returns the orders object of a pool, or nil.
+func (s *Snapshot) Orders(pool string) *world.PoolOrders { return s.orders[pool] }
+
+// RouteOpen tells whether any template opens the route to all.
+func (s *Snapshot) RouteOpen(route string) bool { return s.openRoute[route] }
+
+// Key returns the key record with the given keyed hash, or false. Withdrawn keys are returned too.
+func (s *Snapshot) Key(hash string) (world.KeyRecord, bool) { return s.keys.get(hash) }
+
+// PoolForModel returns the pool that serves a model, or nil. The first pool by name wins.
+func (s *Snapshot) PoolForModel(model string) *world.Pool {
+	var found *world.Pool
+	for _, p := range s.pools {
+		if p.Model == model && (found == nil || p.Name < found.Name) {
+			found = p
+		}
+	}
+	return found
+}
+
+// Bad returns kind/name of objects whose last version can't be parsed, with the reason. Their last good version is in force.
+func (s *Snapshot) Bad() map[string]string {
+	out := make(map[string]string, len(s.bad))
+	for k, reason := range s.bad {
+		out[k.kind+"/"+k.name] = reason
+	}
+	return out
+}
+
+// Objects returns all objects ordered by kind and name.
+func (s *Snapshot) Objects() []world.Object {
+	objects := slices.Collect(maps.Values(s.objects))
+	slices.SortFunc(objects, func(a, b world.Object) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+	})
+	return objects
+}
+
+// Holder keeps the configuration in force and applies only larger revisions. Its methods may be called
+// concurrently; Current never blocks.
+type Holder struct {
+	mu      sync.Mutex
+	current atomic.Pointer[Snapshot]
+	notify  []func(*Snapshot)
+}
+
+// NewHolder returns a holder with an empty snapshot of revision 0.
+func NewHolder() *Holder {
+	h := &Holder{}
+	h.current.Store(emptySnapshot())
+	return h
+}
+
+func emptySnapshot() *Snapshot {
+	return &Snapshot{
+		objects:   map[objectKey]world.Object{},
+		templates: map[string]*world.Template{},
+		teams:     map[string]*world.Team{},
+		pools:     map[string]*world.Pool{},
+		routes:    map[string]*world.Route{},
+		admins:    map[string]*world.AdminCredential{},
+		orders:    map[string]*world.PoolOrders{},
+		keys:      newKeyIndex(),
+		openRoute: map[string]bool{},
+		bad:       map[objectKey]string{},
+	}
+}
+
+// Current returns the snapshot in force.
+func (h *Holder) Current() *Snapshot { return h.current.Load() }
+
+// OnChange registers a function that is called, in revision order, after each change. Register before use.
+func (h *Holder) OnChange(f func(*Snapshot)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.notify = append(h.notify, f)
+}
+
+// Replace puts a full list in force. It returns ErrStale, and changes nothing, when revision is smaller than the one
+// in force.
+func (h *Holder) Replace(objects []world.Object, revision uint64) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	old := h.current.Load()
+	if revision < old.revision {
+		return ErrStale
+	}
+	next := emptySnapshot()
+	next.revision = revision
+	for _, o := range objects {
+		next.put(o, old)
+	}
+	next.indexOpenRoutes()
+	h.publish(next)
+	return nil
+}
+
+// Apply puts changes in force. Events that are not newer than the object they change are skipped.
+func (h *Holder) Apply(events []world.Event) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	old := h.current.Load()
+	next := old.clone()
+	for _, e := range events {
+		if e.Revision <= old.revision {
+			continue
+		}
+		next.revision = max(next.revision, e.Revision)
+		switch e.Type {
+		case world.EventPut:
+			next.put(e.Object, old)
+		case world.EventDelete:
+			next.remove(objectKey{e.Object.Kind, e.Object.Name})
+		}
+	}
+	if next.revision == old.revision {
+		return
+	}
+	next.indexOpenRoutes()
+	h.publish(next)
+}
+
+func (h *Holder) publish(s *Snapshot) {
+	h.current.Store(s)
+	for _, f := range h.notify {
+		f(s)
+	}
+}
+
+func (s *Snapshot) clone() *Snapshot {
+	return &Snapshot{
+		revision:  s.revision,
+		objects:   maps.Clone(s.objects),
+		templates: maps.Clone(s.templates),
+		teams:     maps.Clone(s.teams),
+		pools:     maps.Clone(s.pools),
+		routes:    maps.Clone(s.routes),
+		admins:    maps.Clone(s.admins),
+		orders:    maps.Clone(s.orders),
+		keys:      s.keys.clone(),
+		openRoute: s.openRoute,
+		bad:       maps.Clone(s.bad),
+	}
+}
+
+// put stores an object. When its data can't be parsed, the last good version from old stays in force.
+func (s *Snapshot) put(o world.Object, old *Snapshot) {
+	k := objectKey{o.Kind, o.Name}
+	if err := s.parse(k, o.Data); err != nil {
+		s.bad[k] = err.Error()
+		if good, ok := old.objects[k]; ok {
+			s.objects[k] = good
+			// The good version was parsed before, so parsing it again can't fail.
+			_ = s.parse(k, good.Data)
+		}
+		return
+	}
+	delete(s.bad, k)
+	s.objects[k] = o
+}
+
+func (s *Snapshot) parse(k objectKey, data []byte) error {
+	switch k.kind {
+	case world.KindTemplate:
+		return parseInto(s.templates, k.name, data)
+	case world.KindTeam:
+		return parseInto(s.teams, k.name, data)
+	case world.KindPool:
+		return parseInto(s.pools, k.name, data)
+	case world.KindRoute:
+		return parseInto(s.routes, k.name, data)
+	case world.KindAdmin:
+		return parseInto(s.admins, k.name, data)
+	case world.KindOrders:
+		return parseInto(s.orders, k.name, data)
+	case world.KindKeySet:
+		var set world.KeySet
+		if err := json.Unmarshal(data, &set); err != nil {
+			return errors.Wrap(err, "parse")
+		}
+		s.keys.replace(k.name, set.Keys)
+	}
+	return nil
+}
+
+func parseInto[T any](into map[string]*T, name string, data []byte) error {
+	v := new(T)
+	if err := json.Unmarshal(data, v); err != nil {
+		return errors.Wrap(err, "parse")
+	}
+	into[name] = v
+	return nil
+}
+
+func (s *Snapshot) remove(k objectKey) {
+	delete(s.objects, k)
+	delete(s.bad, k)
+	switch k.kind {
+	case world.KindTemplate:
+		delete(s.templates, k.name)
+	case world.KindTeam:
+		delete(s.teams, k.name)
+	case world.KindPool:
+		delete(s.pools, k.name)
+	case world.KindRoute:
+		delete(s.routes, k.name)
+	case world.KindAdmin:
+		delete(s.admins, k.name)
+	case world.KindOrders:
+		delete(s.orders, k.name)
+	case world.KindKeySet:
+		s.keys.replace(k.name, nil)
+	}
+}
+
+func (s *Snapshot) indexOpenRoutes() {
+	s.openRoute = make(map[string]bool)
+	for _, t := range s.templates {
+		for _, r := range t.OpenRoutes {
+			s.openRoute[r] = true
+		}
+	}
+}
--- /dev/null
+++ b/internal/endpoint/endpoint.go
@@ -0,0 +1,2 @@
+// Package endpoint holds the clients for model engines and plain services.
+package endpoint
--- /dev/null
+++ b/internal/membership/membership.go
@@ -0,0 +1,30 @@
+// Package membership tells which VMs exist and which of them are this node's neighbours.
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Rendezvous returns the n names with the highest hash weight for key, in order of weight. Each process computes the same
+// result from the same names, and a change of one name moves only what that name had.
+func Rendezvous(key string, names []string, n int) []string {
+	type weighted struct {
+		name   string
+		weight uint64
+	}
+	all := make([]weighted, len(names))
+	for i, name := range names {
+		all[i] = weighted{name, xxhash.Sum64String(key + "\x00" + name)}
+	}
+	slices.SortFunc(all, func(a, b weighted) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.name, b.name))
+	})
+	out := make([]string, 0, min(n, len(all)))
+	for _, w := range all[:min(n, len(all))] {
+		out = append(out, w.name)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/order/order.go
@@ -0,0 +1,2 @@
+// Package order writes, sends and takes over orders to endpoints and to the provider.
+package order
--- /dev/null
+++ b/internal/platform/memplatform/provider.go
@@ -0,0 +1,202 @@
+package memplatform
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"time"
+
+	"crocusglade.example/crocusglade/internal/platform"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+// pool is the provider's state of one pool.
+type pool struct {
+	version   uint64
+	endpoints []world.Endpoint
+	applied   map[string]bool
+	ordered   int
+	// refuseReclaimable makes orders of reclaimable endpoints fail: none are available.
+	refuseReclaimable bool
+}
+
+// SetVMs replaces the list of VMs.
+func (p *Platform) SetVMs(vms []world.VM) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.vms = slices.Clone(vms)
+}
+
+// VMs implements platform.VMLister.
+func (p *Platform) VMs(ctx context.Context) ([]world.VM, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls.VMs++
+	if err := p.refuse(ctx); err != nil {
+		return nil, err
+	}
+	return slices.Clone(p.vms), nil
+}
+
+// SetEndpoints replaces the provider's endpoints of a pool.
+func (p *Platform) SetEndpoints(name string, endpoints []world.Endpoint) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.pool(name)
+	s.endpoints = slices.Clone(endpoints)
+	s.version++
+}
+
+// SetReclaimableAvailable says whether reclaimable endpoints can be ordered.
+func (p *Platform) SetReclaimableAvailable(name string, available bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pool(name).refuseReclaimable = !available
+}
+
+// Reclaim gives notice to all reclaimable endpoints of a failure domain: they disappear after the notice.
+func (p *Platform) Reclaim(failureDomain string, notice time.Duration) []world.Endpoint {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var reclaimed []world.Endpoint
+	for _, s := range p.pools {
+		for i := range s.endpoints {
+			e := &s.endpoints[i]
+			if e.Class != world.Reclaimable || e.FailureDomain != failureDomain {
+				continue
+			}
+			e.State = world.EndpointLeaving
+			e.ReclaimAt = time.Now().Add(notice).UnixMilli()
+			s.version++
+			reclaimed = append(reclaimed, *e)
+		}
+	}
+	return reclaimed
+}
+
+func (p *Platform) pool(name string) *pool {
+	s, ok := p.pools[name]
+	if !ok {
+		s = &pool{applied: make(map[string]bool), version: 1}
+		p.pools[name] = s
+	}
+	return s
+}
+
+func (s *pool) view(name string) platform.ProviderView {
+	v := platform.ProviderView{Version: s.version, Endpoints: slices.Clone(s.endpoints)}
+	for i := range v.Endpoints {
+		v.Endpoints[i].Pool = name
+	}
+	return v
+}
+
+// Endpoints implements platform.Provider.
+func (p *Platform) Endpoints(ctx context.Context, name string) (platform.ProviderView, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls.Provider++
+	if err := p.refuse(ctx); err != nil {
+		return platform.ProviderView{}, err
+	}
+	return p.pool(name).view(name), nil
+}
+
+// Order implements platform.Provider. Added endpoints start in state starting; SetEndpointState moves them on.
+func (p *Platform) Order(ctx context.Context, name string, o world.Order, expected uint64) (platform.ProviderView, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls.Provider++
+	if err := p.refuse(ctx); err != nil {
+		return platform.ProviderView{}, err
+	}
+	s := p.pool(name)
+	if s.applied[o.ID] {
+		return s.view(name), p.lostAnswer()
+	}
+	if s.version != expected {
+		return platform.ProviderView{}, platform.ErrConflict
+	}
+	if o.Kind == world.OrderAdd && o.Class == world.Reclaimable && s.refuseReclaimable {
+		return platform.ProviderView{}, platform.ErrThrottled
+	}
+	s.apply(name, o)
+	return s.view(name), p.lostAnswer()
+}
+
+func (s *pool) apply(name string, o world.Order) {
+	s.applied[o.ID] = true
+	s.version++
+	if o.Kind == world.OrderAdd {
+		s.ordered++
+		s.endpoints = append(s.endpoints, world.Endpoint{
+			Name: fmt.Sprintf("%s-ordered-%d", name, s.ordered), FailureDomain: o.FailureDomain,
+			Class: o.Class, State: world.EndpointStarting,
+		})
+		return
+	}
+	for i := range s.endpoints {
+		if s.endpoints[i].Name != o.Endpoint {
+			continue
+		}
+		switch o.Kind {
+		case world.OrderRemove:
+			s.endpoints = slices.Delete(s.endpoints, i, i+1)
+			return
+		case world.OrderClean:
+			s.endpoints[i].State = world.EndpointCleaning
+		}
+	}
+}
+
+// SetEndpointState changes an endpoint's state and, when addr is not empty, its address.
+func (p *Platform) SetEndpointState(name, endpoint string, state world.EndpointState, addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.pool(name)
+	for i := range s.endpoints {
+		if s.endpoints[i].Name != endpoint {
+			continue
+		}
+		s.endpoints[i].State = state
+		if addr != "" {
+			s.endpoints[i].Addr = addr
+		}
+		s.version++
+	}
+}
+
+// Report implements platform.UsageSink.
+func (p *Platform) Report(ctx context.Context, w world.UsageWindow) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls.Usage++
+	if err := p.refuse(ctx); err != nil {
+		return err
+	}
+	if p.onReport != nil {
+		p.onReport(w)
+	}
+	first, ok := p.reports[w.ID]
+	if ok && !reflect.DeepEqual(first.Teams, w.Teams) {
+		return platform.ErrConflict
+	}
+	p.reports[w.ID] = w
+	return p.lostAnswer()
+}
+
+// OnReport calls f, under the platform's lock, for every usage report that arrives.
+func (p *Platform) OnReport(f func(world.UsageWindow)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.onReport = f
+}
+
+// Reports returns the accepted usage reports by window id.
+func (p *Platform) Reports() map[string]world.UsageWindow {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.reports)
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,73 @@
+// Package platform defines how crocusglade meets the platform: the versioned object store, the provider of
+// endpoints, the usage sink and the list of VMs. Sub-packages implement it over HTTP and in memory.
+package platform
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+// Errors that implementations return, possibly wrapped.
+var (
+	// ErrNotFound: the object does not exist.
+	ErrNotFound = errors.New("platform: object not found; create it first")
+	// ErrConflict: the object's version is not the expected one; nothing was written.
+	ErrConflict = errors.New("platform: version conflict; read the object again and retry")
+	// ErrCompacted: the watch starts before the oldest kept revision; list again.
+	ErrCompacted = errors.New("platform: revision compacted; list again")
+	// ErrTooLarge: the value is above MaxValueBytes; nothing was written.
+	ErrTooLarge = errors.New("platform: value above 1 MiB; split it")
+	// ErrUnavailable: the platform can't be reached or refuses for now; a write may or may not have taken effect.
+	ErrUnavailable = errors.New("platform: unavailable; retry with back-off")
+	// ErrThrottled: the platform's rate limit was hit; nothing was written.
+	ErrThrottled = errors.New("platform: rate limited; retry later")
+)
+
+// MaxValueBytes is the largest value that the platform takes, in bytes.
+const MaxValueBytes = 1 << 20
+
+// Store is the versioned object API.
+//
+// Versions are store-wide revisions. A write whose error is ErrUnavailable or a context error may have taken
+// effect: read the object again and look for the write's own unique id.
+type Store interface {
+	// Get returns an object or ErrNotFound.
+	Get(ctx context.Context, kind, name string) (world.Object, error)
+	// List returns all objects of a kind and the revision that the list reflects.
+	List(ctx context.Context, kind string) (items []world.Object, revision uint64, err error)
+	// Put writes an object if its version is still expected (0: it must not exist) and returns the new version.
+	Put(ctx context.Context, kind, name string, data []byte, expected uint64) (version uint64, err error)
+	// Delete removes an object if its version is still expected.
+	Delete(ctx context.Context, kind, name string, expected uint64) error
+	// Watch calls handle for each event after revision from, in order, until ctx ends or an error occurs.
+	// It returns ErrCompacted when from is too old.
+	Watch(ctx context.Context, kinds []string, from uint64, handle func(world.Event) error) error
+}
+
+// ProviderView is the provider's list of endpoints of one pool.
+type ProviderView struct {
+	// Version grows with every accepted order of the pool.
+	Version   uint64
+	Endpoints []world.Endpoint
+}
+
+// Provider orders endpoints.
+type Provider interface {
+	Endpoints(ctx context.Context, pool string) (ProviderView, error)
+	// Order places an order if the pool's version is still expected. The same order id is applied once;
+	// repeating it returns the first result.
+	Order(ctx context.Context, pool string, order world.Order, expected uint64) (ProviderView, error)
+}
+
+// UsageSink accepts usage reports. The same id with other figures gives ErrConflict.
+type UsageSink interface {
+	Report(ctx context.Context, window world.UsageWindow) error
+}
+
+// VMLister returns the platform's list of VMs, which lags.
+type VMLister interface {
+	VMs(ctx context.Context) ([]world.VM, error)
+}
--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,2 @@
+// Package telemetry sets up logs, metrics and health endpoints.
+package telemetry
