Add the clients for engines and plain services

Cause: gateways and controllers need typed access to endpoints, and a refusal may say not_run only when no byte left. Change: data streams with a check of the request id on each chunk, resume, cancel, load, cache events, request lookup, control state and orders. Each error has a reason and tells whether a byte may have left. A pooled transport with GetBody unset was ruled out since bodies may be empty.

--- /dev/null
+++ b/internal/endpoint/control.go
@@ -0,0 +1,159 @@
+package endpoint
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+
+	"github.com/go-faster/errors"
+
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+// ErrStaleFence is wrapped by the error of an order that an engine refused because of its fencing number.
+var ErrStaleFence = errors.New("the order's fencing number is old; the order had no effect")
+
+// ControlState is an engine's state of control.
+type ControlState struct {
+	Fence       uint64     `json:"fence"`
+	ChecksFence bool       `json:"checks_fence"`
+	Role        world.Role `json:"role"`
+	Model       string     `json:"model"`
+	Version     string     `json:"version"`
+	Adapters    []string   `json:"adapters"`
+	LastOrderID string     `json:"last_order_id"`
+	Changing    bool       `json:"changing"`
+}
+
+// LookupState tells what an endpoint knows of a request.
+type LookupState string
+
+const (
+	LookupDone    LookupState = "done"
+	LookupRunning LookupState = "running"
+	LookupUnknown LookupState = "unknown"
+)
+
+// Lookup is an endpoint's answer to a question about a request.
+type Lookup struct {
+	State  LookupState `json:"state"`
+	Status int         `json:"status"`
+	Body   string      `json:"body"`
+	// Instance changes when the endpoint restarts; a restarted endpoint may have forgotten the request.
+	Instance string `json:"instance"`
+}
+
+// CacheEvent is a change of an engine's prefix cache.
+type CacheEvent struct {
+	Seq     uint64   `json:"seq"`
+	Stored  []uint64 `json:"stored"`
+	Removed []uint64 `json:"removed"`
+}
+
+// callJSON runs a short call and decodes its answer into out, which may be nil.
+func (c *Client) callJSON(ctx context.Context, method, addr, uri string, in, out any) error {
+	w := newWatchdog(ctx, c.opts.ControlTimeout)
+	defer w.stop()
+	var body []byte
+	if in != nil {
+		var err error
+		if body, err = json.Marshal(in); err != nil {
+			return &Error{Addr: addr, Op: uri, Reason: Invalid, Err: err}
+		}
+	}
+	req, err := http.NewRequestWithContext(w.ctx, method, c.url(addr, uri), bytes.NewReader(body))
+	if err != nil {
+		return &Error{Addr: addr, Op: uri, Reason: Unreachable, Err: err}
+	}
+	if in != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := c.do(c.pooled, req, addr, uri)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode < 200 || resp.StatusCode > 299 {
+		return refusal(resp, addr, uri)
+	}
+	defer resp.Body.Close()
+	answer, err := c.readWhole(resp.Body)
+	if err != nil {
+		return w.readError(addr, uri, err)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(answer, out); err != nil {
+		return &Error{Addr: addr, Op: uri, Reason: Invalid, Sent: true, Err: err}
+	}
+	return nil
+}
+
+// Cancel stops a request on an engine.
+func (c *Client) Cancel(ctx context.Context, addr, requestID string) error {
+	return c.callJSON(ctx, http.MethodDelete, addr, "/v1/requests/"+url.PathEscape(requestID), nil, nil)
+}
+
+// Load returns an endpoint's load report.
+func (c *Client) Load(ctx context.Context, addr string) (world.Load, error) {
+	var load world.Load
+	err := c.callJSON(ctx, http.MethodGet, addr, "/v1/load", nil, &load)
+	return load, err
+}
+
+// Lookup asks an endpoint for the outcome of a request. An endpoint that can't be asked refuses.
+func (c *Client) Lookup(ctx context.Context, addr, requestID string) (Lookup, error) {
+	var l Lookup
+	err := c.callJSON(ctx, http.MethodGet, addr, "/v1/requests/"+url.PathEscape(requestID), nil, &l)
+	return l, err
+}
+
+// ControlState returns an engine's state of control.
+func (c *Client) ControlState(ctx context.Context, addr string) (ControlState, error) {
+	var s ControlState
+	err := c.callJSON(ctx, http.MethodGet, addr, "/v1/control/state", nil, &s)
+	return s, err
+}
+
+// Order gives an engine an order. The error wraps ErrStaleFence when the engine refused its fencing number.
+func (c *Client) Order(ctx context.Context, addr string, o world.Order) error {
+	err := c.callJSON(ctx, http.MethodPost, addr, "/v1/control/orders", o, nil)
+	if e := AsError(err); e != nil && e.Reason == Refused && e.Status == http.StatusConflict {
+		e.Err = ErrStaleFence
+	}
+	return err
+}
+
+// CacheEvents calls handle for each cache event until the stream breaks, ctx ends or handle returns an error. Events come
+// late and with gaps in Seq.
+func (c *Client) CacheEvents(ctx context.Context, addr string, handle func(CacheEvent) error) error {
+	const op = "/v1/cache/events"
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url(addr, op), nil)
+	if err != nil {
+		return &Error{Addr: addr, Op: op, Reason: Unreachable, Err: err}
+	}
+	resp, err := c.do(c.pooled, req, addr, op)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return refusal(resp, addr, op)
+	}
+	defer resp.Body.Close()
+	lines := newEventScanner(resp.Body, c.opts.MaxAnswerBytes)
+	for {
+		data, err := nextData(lines)
+		if err != nil {
+			return &Error{Addr: addr, Op: op, Reason: Cut, Sent: true, Err: err}
+		}
+		var e CacheEvent
+		if err := json.Unmarshal(data, &e); err != nil {
+			return &Error{Addr: addr, Op: op, Reason: Invalid, Sent: true, Err: err}
+		}
+		if err := handle(e); err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/internal/endpoint/endpoint_test.go
@@ -0,0 +1,137 @@
+package endpoint_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"crocusglade.example/crocusglade/internal/endpoint"
+	"crocusglade.example/crocusglade/internal/standin"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+func serve(t *testing.T, h http.Handler) string {
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func newClient(t *testing.T) *endpoint.Client {
+	c := endpoint.New(endpoint.Options{TokenWait: 100 * time.Millisecond})
+	t.Cleanup(c.Close)
+	return c
+}
+
+func drain(s *endpoint.Stream) (string, error) {
+	defer s.Close()
+	text := ""
+	for {
+		c, err := s.Next()
+		if err != nil {
+			return text, err
+		}
+		text += c.Text
+	}
+}
+
+// Guards against a broken stream that is passed off as whole, and against a cause that is told wrongly.
+func TestStreamFaults(t *testing.T) {
+	for name, c := range map[string]struct {
+		faults standin.EngineFaults
+		reason endpoint.Reason
+	}{
+		"whole":   {standin.EngineFaults{}, ""},
+		"cut":     {standin.EngineFaults{CutAfter: 3}, endpoint.Cut},
+		"half":    {standin.EngineFaults{HalfAfter: 3}, endpoint.Cut},
+		"stall":   {standin.EngineFaults{StallAfter: 3}, endpoint.Stalled},
+		"garbage": {standin.EngineFaults{GarbageAfter: 3}, endpoint.Invalid},
+		"wrong":   {standin.EngineFaults{WrongID: true}, endpoint.Crossed},
+		"crash":   {standin.EngineFaults{CrashMarker: "rope", CrashAfter: 3}, endpoint.Cut},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr := serve(t, standin.NewEngine(standin.EngineConfig{Faults: c.faults}))
+			r := endpoint.DataRequest{Path: endpoint.ChatPath, RequestID: "r1",
+				Body: []byte(`{"messages":[{"role":"user","content":"rope"}],"max_tokens":5,"stream":true}`)}
+			text, err := "", error(nil)
+			s, err := newClient(t).Stream(context.Background(), addr, r)
+			if err == nil {
+				text, err = drain(s)
+			}
+			if c.reason == "" {
+				if want := standin.Output(standin.ChatPrompt("user", "rope"), 5); text != want || err != io.EOF {
+					t.Fatalf("got %q and %v, want %q and the end marker", text, err, want)
+				}
+				return
+			}
+			if e := endpoint.AsError(err); e == nil || e.Reason != c.reason || !e.Sent {
+				t.Fatalf("got %v, want reason %s of a request that was sent", err, c.reason)
+			}
+		})
+	}
+}
+
+// Guards against a claim that nothing was sent when a connection was made, and the reverse.
+func TestErrorsTellWhetherSent(t *testing.T) {
+	c := newClient(t)
+	s := httptest.NewServer(http.NotFoundHandler())
+	gone := strings.TrimPrefix(s.URL, "http://")
+	s.Close()
+	_, err := c.Call(context.Background(), gone, endpoint.ServiceCall{Method: "POST", URI: "/x", RequestID: "a"})
+	if e := endpoint.AsError(err); e == nil || e.Sent || e.Reason != endpoint.Unreachable {
+		t.Fatalf("an unreachable endpoint gave %v", err)
+	}
+	addr := serve(t, standin.NewService(standin.ServiceConfig{Faults: standin.ServiceFaults{CutBefore: true}}))
+	_, err = c.Call(context.Background(), addr, endpoint.ServiceCall{Method: "POST", URI: "/x", RequestID: "a"})
+	if e := endpoint.AsError(err); e == nil || !e.Sent {
+		t.Fatalf("a cut connection gave %v", err)
+	}
+}
+
+// Guards against the transport's own repetition of a request with an idempotency key on a reused connection.
+func TestNonIdempotentCallIsSentOnce(t *testing.T) {
+	service := standin.NewService(standin.ServiceConfig{})
+	addr := serve(t, service)
+	c := newClient(t)
+	call := endpoint.ServiceCall{Method: "POST", URI: "/x", RequestID: "a", Header: http.Header{"Idempotency-Key": {"k"}}}
+	if _, err := c.Call(context.Background(), addr, call); err != nil {
+		t.Fatal(err)
+	}
+	service.SetFaults(standin.ServiceFaults{CutAfterExecuting: true})
+	call.RequestID = "b"
+	if _, err := c.Call(context.Background(), addr, call); err == nil {
+		t.Fatal("a cut call gave an answer")
+	}
+	if n := service.Executions()["b"]; n != 1 {
+		t.Fatalf("the call ran %d times", n)
+	}
+}
+
+// Guards against a stale order that is taken for an accepted one, and against a lookup that loses the instance.
+func TestControlAndLookup(t *testing.T) {
+	c, ctx := newClient(t), context.Background()
+	e := standin.NewEngine(standin.EngineConfig{ChecksFence: true})
+	addr := serve(t, e)
+	if err := c.Order(ctx, addr, world.Order{ID: "1", Fence: 7, Kind: world.OrderSetRole, Value: "decode"}); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Order(ctx, addr, world.Order{ID: "2", Fence: 6, Kind: world.OrderDrain}); !errors.Is(err, endpoint.ErrStaleFence) {
+		t.Fatalf("a stale order gave %v", err)
+	}
+	state, err := c.ControlState(ctx, addr)
+	if err != nil || state.Fence != 7 || state.Role != world.RoleDecode {
+		t.Fatalf("state %+v, %v", state, err)
+	}
+	load, err := c.Load(ctx, addr)
+	if err != nil || load.Instance != e.Instance() || load.KVTotal != 2000 {
+		t.Fatalf("load %+v, %v", load, err)
+	}
+	l, err := c.Lookup(ctx, addr, "none")
+	if err != nil || l.State != endpoint.LookupUnknown || l.Instance != e.Instance() {
+		t.Fatalf("lookup %+v, %v", l, err)
+	}
+}
--- a/internal/endpoint/prefix.go
+++ b/internal/endpoint/prefix.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/binary"
+	"encoding/json"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -34,3 +36,22 @@
 	}
 	return blocks
 }
+
+// Message is one message of a chat request.
+type Message struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// ChatText returns the prompt text of a chat, as prefix blocks count it. Content that is not text counts as its JSON.
+func ChatText(messages []Message) string {
+	var b strings.Builder
+	for _, m := range messages {
+		var text string
+		if json.Unmarshal(m.Content, &text) != nil {
+			text = string(m.Content)
+		}
+		b.WriteString(m.Role + ": " + text + "\n")
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/endpoint/service.go
@@ -0,0 +1,62 @@
+package endpoint
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+
+	"github.com/go-faster/errors"
+)
+
+// ServiceCall is one call of a plain service.
+type ServiceCall struct {
+	Method string
+	// URI is the path with the query, from the slash on.
+	URI       string
+	Header    http.Header
+	Body      []byte
+	RequestID string
+	// Idempotent calls may be sent over a reused connection, where the transport may repeat them.
+	Idempotent bool
+}
+
+// ServiceAnswer is the whole answer of a plain service.
+type ServiceAnswer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Call sends a call to a plain service and reads its whole answer, which must echo the request id. Any status is an answer.
+func (c *Client) Call(ctx context.Context, addr string, call ServiceCall) (*ServiceAnswer, error) {
+	op := call.Method
+	req, err := http.NewRequestWithContext(ctx, call.Method, c.url(addr, call.URI), bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, &Error{Addr: addr, Op: op, Reason: Unreachable, Err: err}
+	}
+	if call.Header != nil {
+		req.Header = call.Header.Clone()
+	}
+	req.Header.Set(requestIDHeader, call.RequestID)
+	hc := c.once
+	if call.Idempotent {
+		hc = c.pooled
+	}
+	resp, err := c.do(hc, req, addr, op)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	body, err := c.readWhole(resp.Body)
+	if err != nil {
+		e := &Error{Addr: addr, Op: op, Reason: Cut, Sent: true, Err: err}
+		if cause := context.Cause(ctx); cause != nil {
+			e.Reason, e.Err = Cancelled, cause
+		}
+		return nil, e
+	}
+	if resp.Header.Get(requestIDHeader) != call.RequestID {
+		return nil, &Error{Addr: addr, Op: op, Reason: Crossed, Sent: true, Err: errors.New("the answer does not echo the request id")}
+	}
+	return &ServiceAnswer{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+}
--- a/internal/standin/engine_data.go
+++ b/internal/standin/engine_data.go
@@ -7,23 +7,21 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 
 	"github.com/google/uuid"
+
+	"crocusglade.example/crocusglade/internal/endpoint"
 )
 
 type dataRequest struct {
-	Model    string `json:"model"`
-	Messages []struct {
-		Role    string          `json:"role"`
-		Content json.RawMessage `json:"content"`
-	} `json:"messages"`
-	Prompt              string `json:"prompt"`
-	MaxTokens           int    `json:"max_tokens"`
-	MaxCompletionTokens int    `json:"max_completion_tokens"`
-	Stream              bool   `json:"stream"`
-	Priority            int    `json:"priority"`
-	CacheSalt           string `json:"cache_salt"`
+	Model               string             `json:"model"`
+	Messages            []endpoint.Message `json:"messages"`
+	Prompt              string             `json:"prompt"`
+	MaxTokens           int                `json:"max_tokens"`
+	MaxCompletionTokens int                `json:"max_completion_tokens"`
+	Stream              bool               `json:"stream"`
+	Priority            int                `json:"priority"`
+	CacheSalt           string             `json:"cache_salt"`
 	// ContinueAfter is the number of output tokens that the caller has, ContinueText their text.
 	ContinueAfter int    `json:"continue_after"`
 	ContinueText  string `json:"continue_text"`
@@ -36,15 +34,7 @@
 	if !chat {
 		return d.Prompt
 	}
-	var b strings.Builder
-	for _, m := range d.Messages {
-		var text string
-		if json.Unmarshal(m.Content, &text) != nil {
-			text = string(m.Content)
-		}
-		b.WriteString(ChatPrompt(m.Role, text))
-	}
-	return b.String()
+	return endpoint.ChatText(d.Messages)
 }
 
 func (e *Engine) serveData(w http.ResponseWriter, r *http.Request, chat bool) {
