Keep claims of non-idempotent requests on the platform

After a lost answer the group is applied again to what the platform holds, and an operation knows its own effect by the attempt id. A claim that was given up is marked not_run in the background by a write that is made even when the attempt is absent, so a late write of the old version can't land after it. Answers that need no write are given only from content that was just read: a cached shard would show a repeated caller an old state for ever. Unresolved claims are reconciled by asking the endpoint, after its gateway is known to be gone.

--- /dev/null
+++ b/internal/claim/store_test.go
@@ -0,0 +1,224 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"crocusglade.example/crocusglade/internal/apierror"
+	"crocusglade.example/crocusglade/internal/platform/memplatform"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+var ctx = context.Background()
+
+func attempt(key, id string) world.Claim {
+	return world.Claim{Key: key, BodyHash: "b", Attempt: id, Gateway: "vm.1", RequestID: "r-" + id, Endpoint: "e", Instance: "i1"}
+}
+
+func begin(t *testing.T, s *Store, c world.Claim) (world.Claim, bool) {
+	t.Helper()
+	existing, won, err := s.Begin(ctx, c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return existing, won
+}
+
+func kindOf(err error) apierror.Kind { return apierror.From(err, apierror.Unknown).Kind }
+
+// Guards against two gateways that both win a key while answers of the platform are lost.
+func TestOneWinnerPerKey(t *testing.T) {
+	p := memplatform.New()
+	stores := []*Store{NewStore(Options{Platform: p}), NewStore(Options{Platform: p}), NewStore(Options{Platform: p})}
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	winners := make(map[string]int)
+	for round := range 40 {
+		key := fmt.Sprintf("key-%d", round)
+		p.UpdateFaults(func(f *memplatform.Faults) { f.LoseAnswers = 2 })
+		for i, s := range stores {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				_, won, err := s.Begin(ctx, attempt(key, fmt.Sprintf("%d-%d", round, i)))
+				if err != nil {
+					t.Error(err)
+				}
+				if won {
+					mu.Lock()
+					winners[key]++
+					mu.Unlock()
+				}
+			}()
+		}
+		wg.Wait()
+		if winners[key] != 1 {
+			t.Fatalf("%d winners of %s", winners[key], key)
+		}
+	}
+}
+
+// Guards against a repeat at another gateway that sees an old state of the claim for ever.
+func TestRepeatSeesOutcomeElsewhere(t *testing.T) {
+	p := memplatform.New()
+	a, b := NewStore(Options{Platform: p}), NewStore(Options{Platform: p})
+	c := attempt("k", "1")
+	begin(t, a, c)
+	if existing, won := begin(t, b, attempt("k", "2")); won || existing.State != world.ClaimClaimed {
+		t.Fatalf("repeat at once got %+v, won %v", existing, won)
+	}
+	if err := a.Finish(ctx, c, Outcome{Status: 201, Body: make([]byte, MaxBodyBytes+1)}); err != nil {
+		t.Fatal(err)
+	}
+	if existing, won := begin(t, b, attempt("k", "3")); won || existing.Status != 201 || existing.BodyKept {
+		t.Fatalf("repeat later got %+v, won %v", existing, won)
+	}
+	other := attempt("k", "4")
+	other.BodyHash = "other"
+	if _, _, err := b.Begin(ctx, other); kindOf(err) != apierror.IdempotencyMismatch {
+		t.Fatalf("another body gave %v", err)
+	}
+}
+
+// Guards against a claim that stays in force after its request was refused as not run during an outage.
+func TestOutageRefusesAndReleases(t *testing.T) {
+	p := memplatform.New()
+	s := NewStore(Options{Platform: p, BeginTimeout: 50 * time.Millisecond})
+	p.SetFaults(memplatform.Faults{Down: true})
+	_, _, err := s.Begin(ctx, attempt("k", "1"))
+	if e := apierror.From(err, apierror.Unknown); e.Run != apierror.NotRun || e.Kind != apierror.Unavailable {
+		t.Fatalf("an outage gave %v", err)
+	}
+	p.SetFaults(memplatform.Faults{})
+	if err := s.Flush(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if _, won := begin(t, s, attempt("k", "2")); !won {
+		t.Fatal("a new attempt after the outage did not win")
+	}
+}
+
+// Guards against a claim that was written although its answer was lost and its caller was told "not run".
+func TestGivenUpWriteIsMarkedNotRun(t *testing.T) {
+	p := memplatform.New()
+	s := NewStore(Options{Platform: p})
+	c := attempt("k", "1")
+	begin(t, s, c)
+	s.disown(c)
+	if err := s.Flush(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if _, won := begin(t, NewStore(Options{Platform: p}), attempt("k", "2")); !won {
+		t.Fatal("the key stayed claimed")
+	}
+}
+
+// Guards against a shard that grows above the platform's limit, or that drops a claim without an outcome to make room.
+func TestFullShard(t *testing.T) {
+	p := memplatform.New()
+	s := NewStore(Options{Platform: p})
+	shard := s.shards[0]
+	shard.known, shard.fresh = make(map[string]world.Claim), true
+	const open = 220 // of about 4 KiB each; about 240 fill the shard
+	for i := range open {
+		c := attempt(fmt.Sprintf("open-%d", i), fmt.Sprint(i))
+		c.State, c.Endpoint = world.ClaimClaimed, strings.Repeat("e", 4000)
+		shard.known[c.Key] = c
+	}
+	done := attempt("done", "d")
+	done.State, done.Body, done.BodyKept = world.ClaimDone, make([]byte, MaxBodyBytes), true
+	done.At = time.Now().UnixMilli()
+	shard.known[done.Key] = done
+	var last error
+	won := 0
+	for i := range open {
+		b := &beginning{claim: attempt(fmt.Sprintf("new-%d", i), fmt.Sprintf("n%d", i))}
+		b.claim.Endpoint = strings.Repeat("e", 4000)
+		if last = shard.do(ctx, &operation{apply: b.apply, adds: true}); last != nil {
+			break
+		}
+		won++
+	}
+	if !errors.Is(last, errFull) || won == 0 {
+		t.Fatalf("%d claims fitted, then %v", won, last)
+	}
+	if shard.known["done"].BodyKept {
+		t.Fatal("a claim was refused while a body was kept")
+	}
+	finish := change(attempt("new-0", "n0"), world.ClaimDone, &Outcome{Status: 200})
+	if err := shard.do(ctx, &operation{apply: finish.apply}); err != nil || finish.superseded {
+		t.Fatalf("a full shard refused an outcome: %v", err)
+	}
+	if len(shard.known) != open+1+won {
+		t.Fatalf("the shard holds %d claims, want %d", len(shard.known), open+1+won)
+	}
+}
+
+// Guards against claims that are dropped early, and against unresolved ones that expire.
+func TestRetention(t *testing.T) {
+	now := time.Now()
+	p := memplatform.New()
+	s := NewStore(Options{Platform: p, Now: func() time.Time { return now }})
+	done, open := attempt("done", "1"), attempt("open", "2")
+	begin(t, s, done)
+	begin(t, s, open)
+	if err := errors.Join(s.Finish(ctx, done, Outcome{Status: 200}), s.Unresolved(ctx, open)); err != nil {
+		t.Fatal(err)
+	}
+	now = now.Add(DefaultRetention - time.Second)
+	if _, won := begin(t, s, attempt("done", "3")); won {
+		t.Fatal("a claim ended before its retention")
+	}
+	now = now.Add(2 * time.Second)
+	if _, won := begin(t, s, attempt("done", "4")); !won {
+		t.Fatal("a claim outlived its retention")
+	}
+	if _, won := begin(t, s, attempt("open", "5")); won {
+		t.Fatal("an unresolved claim expired")
+	}
+}
+
+type fakeWorld struct {
+	gone, owns bool
+	answer     Answer
+	err        error
+}
+
+func (f fakeWorld) Gone(context.Context, string) (bool, error)         { return f.gone, nil }
+func (f fakeWorld) Owns(context.Context, string, string) (bool, error) { return f.owns, nil }
+func (f fakeWorld) Ask(context.Context, world.Claim) (Answer, error)   { return f.answer, f.err }
+
+// Guards against a claim that is released for a second run without proof that the first did not happen.
+func TestReconciler(t *testing.T) {
+	unknown := Answer{State: AnswerUnknown, Instance: "i1"}
+	for name, c := range map[string]struct {
+		world fakeWorld
+		want  world.ClaimState
+	}{
+		"owner works":            {fakeWorld{owns: true, answer: unknown}, world.ClaimClaimed},
+		"gone, done":             {fakeWorld{gone: true, answer: Answer{State: AnswerDone, Outcome: Outcome{Status: 200}}}, world.ClaimDone},
+		"gone, unknown":          {fakeWorld{gone: true, answer: unknown}, world.ClaimNotRun},
+		"gone, running":          {fakeWorld{gone: true, answer: Answer{State: AnswerRunning, Instance: "i1"}}, world.ClaimUnresolved},
+		"gone, restarted":        {fakeWorld{gone: true, answer: Answer{State: AnswerUnknown, Instance: "i2"}}, world.ClaimUnresolved},
+		"gone, can't be asked":   {fakeWorld{gone: true, err: errors.New("no lookup")}, world.ClaimUnresolved},
+		"alive, unknown":         {fakeWorld{answer: unknown}, world.ClaimUnresolved},
+		"gone, instance unnamed": {fakeWorld{gone: true, answer: Answer{State: AnswerUnknown}}, world.ClaimUnresolved},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := NewStore(Options{Platform: memplatform.New()})
+			begin(t, s, attempt("k", "1"))
+			r := &Reconciler{Store: s, Incarnations: c.world, Endpoints: c.world, Authority: func() bool { return true }}
+			if _, err := r.Pass(ctx); err != nil {
+				t.Fatal(err)
+			}
+			if existing, won := begin(t, s, attempt("k", "2")); won != (c.want == world.ClaimNotRun) || !won && existing.State != c.want {
+				t.Fatalf("state %s, won %v, want %s", existing.State, won, c.want)
+			}
+		})
+	}
+}
