Add the caller-facing gateway

Change: an admitted request runs in its own goroutine and writes into an answer; the caller's connection and later fetches by id read from it, so a broken connection does not cut the request. A crash is told from a cut connection by the instance in the load report.

--- /dev/null
+++ b/internal/gateway/bed_test.go
@@ -0,0 +1,259 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"crocusglade.example/crocusglade/internal/admission"
+	"crocusglade.example/crocusglade/internal/apierror"
+	"crocusglade.example/crocusglade/internal/auth"
+	"crocusglade.example/crocusglade/internal/balancer"
+	"crocusglade.example/crocusglade/internal/claim"
+	"crocusglade.example/crocusglade/internal/config"
+	"crocusglade.example/crocusglade/internal/endpoint"
+	"crocusglade.example/crocusglade/internal/platform/memplatform"
+	"crocusglade.example/crocusglade/internal/retry"
+	"crocusglade.example/crocusglade/internal/standin"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+// bed holds a platform, stand-in endpoints and gateways on loopback.
+type bed struct {
+	t        *testing.T
+	platform *memplatform.Platform
+	holder   *config.Holder
+	keyring  *auth.Keyring
+	engines  []*standin.Engine
+	service  *standin.Service
+	keys     map[string]string // by team
+	records  []world.KeyRecord
+	pools    []world.Pool
+
+	mu       sync.Mutex
+	gateways map[string]*Gateway // by VM
+	usage    []world.Usage
+	deaths   []string
+	lost     bool
+}
+
+// Record implements usage.Recorder.
+func (b *bed) Record(_ context.Context, _ string, u world.Usage) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.usage = append(b.usage, u)
+	return nil
+}
+
+// FetchAnswer implements AnswerFetcher without a network.
+func (b *bed) FetchAnswer(ctx context.Context, vm, inc, team, id string, offset int64, handle func(AnswerPart) error) error {
+	b.mu.Lock()
+	g := b.gateways[vm]
+	b.mu.Unlock()
+	if g == nil || g.Incarnation() != inc {
+		return ErrGatewayGone
+	}
+	return g.Answer(ctx, team, id, offset, handle)
+}
+
+type members struct {
+	mu   sync.Mutex
+	left bool
+}
+
+func (m *members) Addresses() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.left {
+		return []string{"10.0.0.2:1"}
+	}
+	return []string{"10.0.0.1:1", "10.0.0.2:1"}
+}
+
+func (m *members) Leave() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.left = true
+}
+
+func serve(t *testing.T, h http.Handler) string {
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func newBed(t *testing.T, engines ...standin.EngineConfig) *bed {
+	b := &bed{t: t, platform: memplatform.New(), holder: config.NewHolder(), keyring: auth.NewKeyring([]byte("secret")),
+		keys: make(map[string]string), gateways: make(map[string]*Gateway)}
+	llm := world.Pool{Name: "llm", Kind: world.PoolEngine, Model: "m", Version: "1"}
+	for i, cfg := range engines {
+		cfg.Model = "m"
+		b.engines = append(b.engines, standin.NewEngine(cfg))
+		llm.Endpoints = append(llm.Endpoints, world.Endpoint{Name: string(rune('a' + i)), Addr: serve(t, b.engines[i]), Class: world.OnDemand})
+	}
+	b.service = standin.NewService(standin.ServiceConfig{})
+	svc := world.Pool{Name: "svc", Kind: world.PoolService, Endpoints: []world.Endpoint{
+		{Name: "s", Addr: serve(t, b.service), Class: world.OnDemand}}}
+	b.pools = []world.Pool{llm, svc, {Name: "other", Model: "other"}}
+	for _, team := range []string{"rope", "clerk"} {
+		b.keys[team] = auth.NewKey(team)
+		b.records = append(b.records, world.KeyRecord{ID: team, Team: team, Hash: b.keyring.Hash(b.keys[team])})
+	}
+	b.configure(1)
+	return b
+}
+
+func (b *bed) configure(revision uint64) {
+	var objects []world.Object
+	add := func(kind, name string, v any) {
+		data, err := json.Marshal(v)
+		if err != nil {
+			b.t.Fatal(err)
+		}
+		objects = append(objects, world.Object{Kind: kind, Name: name, Version: revision, Data: data})
+	}
+	add(world.KindTemplate, "full", world.Template{Name: "full", Models: []world.ModelGrant{{Model: "m", Versions: []string{"1"}}},
+		Routes: []string{"harvest"}, OpenRoutes: []string{"public"}, Priority: world.PriorityNormal,
+		RoutePriority: map[string]world.Priority{endpoint.ChatPath: world.PriorityUrgent}})
+	add(world.KindTeam, "rope", world.Team{Name: "rope", Template: "full", Limits: world.Limits{MaxBodyBytes: 4096}})
+	add(world.KindTeam, "clerk", world.Team{Name: "clerk", Template: "full"})
+	for _, p := range b.pools {
+		add(world.KindPool, p.Name, p)
+	}
+	for _, r := range []string{"harvest", "public", "hidden"} {
+		add(world.KindRoute, r, world.Route{Name: r, Pool: "svc"})
+	}
+	add(world.KindKeySet, "00", world.KeySet{Keys: b.records})
+	if err := b.holder.Replace(objects, revision); err != nil {
+		b.t.Fatal(err)
+	}
+}
+
+// withdraw withdraws a team's key.
+func (b *bed) withdraw(team string) {
+	for i := range b.records {
+		if b.records[i].Team == team {
+			b.records[i].WithdrawnAt = 1
+		}
+	}
+	b.configure(b.holder.Current().Revision() + 1)
+}
+
+// gateway starts a gateway on a VM and returns its address.
+func (b *bed) gateway(vm string, change ...func(*Options)) string {
+	bal := balancer.New(1)
+	for _, p := range b.pools {
+		for _, e := range p.Endpoints {
+			known := balancer.Endpoint{Endpoint: e}
+			if e.Name == "s" {
+				known.Load.Instance = b.service.Instance()
+			} else {
+				known.Load.Instance = b.engines[int(e.Name[0]-'a')].Instance()
+			}
+			bal.Update(p.Name, known)
+		}
+	}
+	client := endpoint.New(endpoint.Options{TokenWait: 100 * time.Millisecond, FirstTokenWait: 5 * time.Second})
+	b.t.Cleanup(client.Close)
+	o := Options{VM: vm, Config: b.holder, Keyring: b.keyring, Admission: admission.New(), Balancer: bal, Budget: retry.NewBudget(0.1),
+		Quarantine: retry.NewQuarantine(time.Minute), Usage: b, Members: &members{}, Answers: b, Endpoints: client,
+		Claims:      claim.NewStore(claim.Options{Platform: b.platform, BeginTimeout: 200 * time.Millisecond}),
+		ContactLost: func() bool { b.mu.Lock(); defer b.mu.Unlock(); return b.lost },
+		OnDeath:     func(_ uint64, e string) { b.mu.Lock(); defer b.mu.Unlock(); b.deaths = append(b.deaths, e) }}
+	for _, f := range change {
+		f(&o)
+	}
+	g := New(o)
+	b.mu.Lock()
+	b.gateways[vm] = g
+	b.mu.Unlock()
+	return serve(b.t, g)
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    apierror.Error
+}
+
+func (b *bed) request(method, addr, path, team, body string, header ...string) *http.Request {
+	req, err := http.NewRequest(method, "http://"+addr+path, strings.NewReader(body))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	if team != "" {
+		req.Header.Set("Authorization", "Bearer "+b.keys[team])
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header[header[i]] = []string{header[i+1]}
+	}
+	return req
+}
+
+func (b *bed) call(method, addr, path, team, body string, header ...string) reply {
+	b.t.Helper()
+	resp, err := http.DefaultClient.Do(b.request(method, addr, path, team, body, header...))
+	if err != nil {
+		b.t.Error(err)
+		return reply{}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		b.t.Error(err)
+	}
+	r := reply{status: resp.StatusCode, header: resp.Header, body: string(data)}
+	if _, after, ok := bytes.Cut(data, []byte("event: error\ndata: ")); ok {
+		data = after
+	}
+	var e struct {
+		Error apierror.Error `json:"error"`
+	}
+	if json.Unmarshal(bytes.TrimSpace(data), &e) == nil {
+		r.err = e.Error
+	}
+	return r
+}
+
+const chatStream = `{"model":"m","messages":[{"role":"user","content":"rope"}],"max_tokens":8,"stream":true}`
+
+var chatOutput = standin.Output(standin.ChatPrompt("user", "rope"), 8)
+
+// text returns the output in a stream and whether it has its end marker.
+func (r reply) text() (string, bool) {
+	out, done := "", false
+	for _, line := range strings.Split(r.body, "\n") {
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		done = data == "[DONE]"
+		var c struct {
+			Choices []struct {
+				Delta struct{ Content string }
+				Text  string
+			}
+		}
+		if json.Unmarshal([]byte(data), &c) == nil && len(c.Choices) > 0 {
+			out += c.Choices[0].Delta.Content + c.Choices[0].Text
+		}
+	}
+	return out, done
+}
+
+func (b *bed) seenByEndpoints() int {
+	n := len(b.service.Calls())
+	for _, e := range b.engines {
+		n += len(e.Requests())
+	}
+	return n
+}
--- /dev/null
+++ b/internal/gateway/drain.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/labstack/echo/v4"
+)
+
+// entry is the answer of GET /v1/entry.
+type entry struct {
+	Addresses       []string `json:"addresses"`
+	LifetimeSeconds int      `json:"lifetime_seconds"`
+}
+
+// serveEntry returns the addresses that callers may use, and for how long.
+func (g *Gateway) serveEntry(ec echo.Context) error {
+	addresses := g.opts.Members.Addresses()
+	if addresses == nil {
+		addresses = []string{}
+	}
+	ec.Response().Header().Set("Cache-Control", "no-store")
+	return ec.JSON(http.StatusOK, entry{addresses, int(g.opts.EntryLifetime / time.Second)})
+}
+
+// Drain stops the gateway without cutting a request. It leaves discovery, serves on for the lifetime of addresses that callers
+// hold, refuses new work, waits for requests in progress and for outcomes that are being stored, and hands over. It returns
+// an error when ctx ends before that; requests may be cut then.
+func (g *Gateway) Drain(ctx context.Context) error {
+	g.mu.Lock()
+	g.leaving = true
+	g.mu.Unlock()
+	g.opts.Members.Leave()
+	g.opts.Log.Info().Msg("left discovery")
+	lifetime := time.NewTimer(g.opts.EntryLifetime)
+	defer lifetime.Stop()
+	select {
+	case <-lifetime.C:
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "callers may still hold this address; allow more time for the drain")
+	}
+	g.mu.Lock()
+	g.refusing = true
+	idle := g.idle
+	g.mu.Unlock()
+	g.opts.Log.Info().Msg("new work is refused")
+	select {
+	case <-idle:
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "requests are still in progress; allow more time for the drain")
+	}
+	return g.opts.HandOver(ctx)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,2 +1,274 @@
 // Package gateway is the caller-facing server: discovery, authentication, admission, routing, streaming, claims and usage.
+//
+// A request that has been admitted runs in a goroutine of its own and writes into an answer. The caller's connection, and
+// later fetches by id, read from that answer, so a broken connection to the caller does not cut the request.
 package gateway
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v4"
+	"github.com/rs/zerolog"
+
+	"crocusglade.example/crocusglade/internal/admission"
+	"crocusglade.example/crocusglade/internal/apierror"
+	"crocusglade.example/crocusglade/internal/auth"
+	"crocusglade.example/crocusglade/internal/balancer"
+	"crocusglade.example/crocusglade/internal/claim"
+	"crocusglade.example/crocusglade/internal/config"
+	"crocusglade.example/crocusglade/internal/endpoint"
+	"crocusglade.example/crocusglade/internal/retry"
+	"crocusglade.example/crocusglade/internal/usage"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+// Defaults of Options.
+const (
+	DefaultEntryLifetime = 30 * time.Second
+	DefaultAnswerTTL     = 60 * time.Second
+	// DefaultAbandonAfter leaves a caller time to reconnect before its request is cancelled at the engine.
+	DefaultAbandonAfter   = 20 * time.Second
+	DefaultMaxBodyBytes   = 4 << 20
+	DefaultMaxAnswerBytes = 32 << 20
+	DefaultMaxAttempts    = 4
+)
+
+// openTeam is the reserved team of requests on open routes without a key.
+const openTeam = "open"
+
+// Members tells which gateways serve callers.
+type Members interface {
+	// Addresses returns the caller-facing addresses of the gateways that serve, this one included while it does.
+	Addresses() []string
+	// Leave takes this gateway out of discovery, here and at the neighbours.
+	Leave()
+}
+
+// Observation describes a finished request, for counters and service-level burn.
+type Observation struct {
+	Team     string
+	Route    string
+	Pool     string
+	Priority world.Priority
+	// Status is the answer's status; Kind is empty for a whole answer.
+	Status int
+	Kind   apierror.Kind
+	// FirstByte is the time to the first byte of the answer; 0 when there was none.
+	FirstByte time.Duration
+	Total     time.Duration
+	Attempts  int
+	Usage     world.Usage
+}
+
+// Options holds what a gateway depends on. Fields marked optional may stay zero.
+type Options struct {
+	// VM and Incarnation name this process. Incarnation is optional and random by default.
+	VM          string
+	Incarnation string
+
+	Config     *config.Holder
+	Keyring    *auth.Keyring
+	Admission  *admission.Queue
+	Balancer   *balancer.Balancer
+	Budget     *retry.Budget
+	Quarantine *retry.Quarantine
+	Claims     claim.Claims
+	Usage      usage.Recorder
+	Members    Members
+	// Answers fetches answers from other gateways.
+	Answers   AnswerFetcher
+	Endpoints *endpoint.Client
+
+	// ContactLost tells that this gateway has lost the platform and a majority of the VMs. Optional.
+	ContactLost func() bool
+	// PoolEndpoints returns the endpoints of a pool, to resume answers of gateways that are gone. Optional; the default
+	// is the list in the pool's configuration.
+	PoolEndpoints func(pool string) []world.Endpoint
+	// OnDeath is called when an endpoint died under a request, so that neighbours learn of it. Optional.
+	OnDeath func(fingerprint uint64, endpoint string)
+	// Observe is called for each finished request. Optional.
+	Observe func(Observation)
+	// HandOver is called at the end of a drain. Optional.
+	HandOver func(ctx context.Context) error
+	// Log takes changes of state. Optional.
+	Log zerolog.Logger
+
+	// Optional limits.
+	EntryLifetime time.Duration
+	AnswerTTL     time.Duration
+	AbandonAfter  time.Duration
+	MaxBodyBytes  int64
+	// MaxAnswerBytes bounds the memory of finished answers that are kept for fetching.
+	MaxAnswerBytes int64
+	// MaxAttempts bounds the endpoints that one request is tried on.
+	MaxAttempts int
+}
+
+// Gateway serves callers. Its methods may be called concurrently.
+type Gateway struct {
+	opts    Options
+	echo    *echo.Echo
+	answers *answerStore
+
+	mu       sync.Mutex
+	leaving  bool
+	refusing bool
+	inFlight int
+	idle     chan struct{} // closed while nothing is in flight
+	attempts map[string]bool
+}
+
+// New returns a gateway that serves as soon as its handler is called.
+func New(o Options) *Gateway {
+	if o.Incarnation == "" {
+		o.Incarnation = uuid.NewString()[:8]
+	}
+	if o.ContactLost == nil {
+		o.ContactLost = func() bool { return false }
+	}
+	if o.PoolEndpoints == nil {
+		o.PoolEndpoints = func(pool string) []world.Endpoint {
+			if p := o.Config.Current().Pool(pool); p != nil {
+				return p.Endpoints
+			}
+			return nil
+		}
+	}
+	if o.OnDeath == nil {
+		o.OnDeath = func(uint64, string) {}
+	}
+	if o.Observe == nil {
+		o.Observe = func(Observation) {}
+	}
+	if o.HandOver == nil {
+		o.HandOver = func(context.Context) error { return nil }
+	}
+	o.EntryLifetime = cmp.Or(o.EntryLifetime, DefaultEntryLifetime)
+	o.AnswerTTL = cmp.Or(o.AnswerTTL, DefaultAnswerTTL)
+	o.AbandonAfter = cmp.Or(o.AbandonAfter, DefaultAbandonAfter)
+	o.MaxBodyBytes = cmp.Or(o.MaxBodyBytes, DefaultMaxBodyBytes)
+	o.MaxAnswerBytes = cmp.Or(o.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	o.MaxAttempts = cmp.Or(o.MaxAttempts, DefaultMaxAttempts)
+	idle := make(chan struct{})
+	close(idle)
+	g := &Gateway{opts: o, answers: newAnswerStore(o.AnswerTTL, o.MaxAnswerBytes), idle: idle, attempts: make(map[string]bool)}
+	o.Config.OnChange(g.cancelWithdrawn)
+	g.routes()
+	return g
+}
+
+func (g *Gateway) routes() {
+	e := echo.New()
+	e.HTTPErrorHandler = g.writeEchoError
+	e.POST(endpoint.ChatPath, g.serveModel(endpoint.ChatPath))
+	e.POST(endpoint.CompletionPath, g.serveModel(endpoint.CompletionPath))
+	e.GET("/v1/models", g.serveModels)
+	e.GET("/v1/answers/:id", g.serveAnswer)
+	e.GET("/v1/entry", g.serveEntry)
+	e.Any(servicePrefix+"*", g.serveService)
+	g.echo = e
+}
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) { g.echo.ServeHTTP(w, r) }
+
+// Name returns VM and incarnation as claims and request ids carry them.
+func (g *Gateway) Name() string { return g.opts.VM + "." + g.opts.Incarnation }
+
+// Incarnation returns the name of this start of the gateway.
+func (g *Gateway) Incarnation() string { return g.opts.Incarnation }
+
+// InFlight returns the number of requests in progress.
+func (g *Gateway) InFlight() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.inFlight
+}
+
+// Draining tells whether the gateway has left discovery.
+func (g *Gateway) Draining() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.leaving
+}
+
+// Attempts returns the attempt ids of claims that this incarnation still works on.
+func (g *Gateway) Attempts() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := make([]string, 0, len(g.attempts))
+	for a := range g.attempts {
+		out = append(out, a)
+	}
+	return out
+}
+
+func (g *Gateway) addAttempt(attempt string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.attempts[attempt] = true
+}
+
+func (g *Gateway) removeAttempt(attempt string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.attempts, attempt)
+}
+
+// enter counts a request in progress, or refuses it when the gateway has stopped taking work.
+func (g *Gateway) enter() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.refusing {
+		e := apierror.New(apierror.Draining, "send the request to one of the addresses named here", "this gateway is stopping")
+		e.Addresses = g.opts.Members.Addresses()
+		return e
+	}
+	if g.inFlight == 0 {
+		g.idle = make(chan struct{})
+	}
+	g.inFlight++
+	return nil
+}
+
+// hold counts work that a request leaves behind, such as an outcome that is still being stored.
+func (g *Gateway) hold() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.inFlight == 0 {
+		g.idle = make(chan struct{})
+	}
+	g.inFlight++
+}
+
+func (g *Gateway) leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inFlight--
+	if g.inFlight == 0 {
+		close(g.idle)
+	}
+}
+
+// writeEchoError answers errors of handlers and of the router.
+func (g *Gateway) writeEchoError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	if he, ok := err.(*echo.HTTPError); ok {
+		switch he.Code {
+		case http.StatusNotFound:
+			err = apierror.New(apierror.NotFound, "see the documentation for the paths that callers may use", "no such path")
+		case http.StatusMethodNotAllowed:
+			err = apierror.New(apierror.InvalidRequest, "use the method that the documentation names", "the path does not take this method")
+		default:
+			err = apierror.New(apierror.InvalidRequest, "check the request", "the request is not valid")
+		}
+	}
+	writeError(c.Response(), apierror.From(err, apierror.Unknown), c.Response().Header().Get(requestIDHeader))
+}
--- /dev/null
+++ b/internal/gateway/service_test.go
@@ -0,0 +1,147 @@
+package gateway
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"crocusglade.example/crocusglade/internal/apierror"
+	"crocusglade.example/crocusglade/internal/balancer"
+	"crocusglade.example/crocusglade/internal/claim"
+	"crocusglade.example/crocusglade/internal/platform/memplatform"
+	"crocusglade.example/crocusglade/internal/standin"
+)
+
+type ctxT = context.Context
+
+func placeWithout(pool, name string) balancer.Request {
+	return balancer.Request{Pool: pool, Exclude: []string{name}}
+}
+
+func (b *bed) declare(addr, key, body string) reply {
+	return b.call("POST", addr, "/svc/harvest/declare", "rope", body, idempotencyHeader, key)
+}
+
+// Guards against a second run of a declaration, whatever is repeated where.
+func TestNonIdempotentRunsOnce(t *testing.T) {
+	b := newBed(t)
+	first, second := b.gateway("vm-1"), b.gateway("vm-2")
+	b.service.SetFaults(standin.ServiceFaults{Slow: 300 * time.Millisecond})
+	var wg sync.WaitGroup
+	replies := make([]reply, 8)
+	for i := range replies {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			replies[i] = b.declare([]string{first, second}[i%2], "k", "{}")
+		}()
+	}
+	wg.Wait()
+	ok := 0
+	for _, r := range replies {
+		switch {
+		case r.status == 200:
+			ok++
+		case r.err.Kind != apierror.InProgress || r.err.Run != apierror.Unknown:
+			t.Fatalf("got %d %s", r.status, r.body)
+		}
+	}
+	later := b.declare(second, "k", "{}")
+	if ok != 1 || later.status != 200 || later.header.Get(replayHeader) != "true" || b.service.Executed() != 1 {
+		t.Fatalf("%d answers, replay %d %s, %d runs", ok, later.status, later.body, b.service.Executed())
+	}
+	if r := b.declare(first, "k", `{"tonnes":2}`); r.err.Kind != apierror.IdempotencyMismatch {
+		t.Fatalf("another body gave %d %s", r.status, r.body)
+	}
+}
+
+// Guards against an unknown outcome that is told as "not run", and against a repeat of a call that ran.
+func TestServiceFaults(t *testing.T) {
+	for name, c := range map[string]struct {
+		faults       standin.ServiceFaults
+		noLookup     bool
+		kind, repeat apierror.Kind
+		runs         int
+	}{
+		"cut after executing": {standin.ServiceFaults{CutAfterExecuting: true, Times: 1}, false, "", "", 1},
+		"cut, can't be asked": {standin.ServiceFaults{CutAfterExecuting: true, Times: 1}, true, apierror.OutcomeUnknown, apierror.OutcomeUnknown, 1},
+		"cut before":          {standin.ServiceFaults{CutBefore: true, Times: 1}, false, apierror.OutcomeUnknown, apierror.OutcomeUnknown, 0},
+		"short body":          {standin.ServiceFaults{ShortBody: true, Times: 1}, false, "", "", 1},
+		"another id":          {standin.ServiceFaults{WrongID: true, Times: 1}, true, apierror.OutcomeUnknown, apierror.OutcomeUnknown, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t)
+			b.service = standin.NewService(standin.ServiceConfig{NoLookup: c.noLookup, Faults: c.faults})
+			b.pools[1].Endpoints[0].Addr = serve(t, b.service)
+			first, second := b.gateway("vm-1"), b.gateway("vm-2")
+			r, repeat := b.declare(first, "k", "{}"), b.declare(second, "k", "{}")
+			if r.err.Kind != c.kind || repeat.err.Kind != c.repeat || r.err.Run == apierror.NotRun {
+				t.Fatalf("got %d %s, then %d %s", r.status, r.body, repeat.status, repeat.body)
+			}
+			if n := b.service.Executed(); n != c.runs {
+				t.Fatalf("the call ran %d times, want %d", n, c.runs)
+			}
+		})
+	}
+}
+
+// Guards against idempotent calls that are not repeated, or that are repeated although the answer came.
+func TestIdempotentIsRetried(t *testing.T) {
+	b := newBed(t)
+	spare := standin.NewService(standin.ServiceConfig{})
+	e := b.pools[1].Endpoints[0]
+	e.Name, e.Addr = "s", serve(t, spare)
+	b.pools[1].Endpoints[0].Name = "s"
+	b.service.SetFaults(standin.ServiceFaults{CutBefore: true})
+	addr := b.gateway("vm-1", func(o *Options) {
+		e.Name = "spare"
+		o.Balancer.Update("svc", balancer.Endpoint{Endpoint: e})
+	})
+	for range 6 {
+		if r := b.call("GET", addr, "/svc/harvest/x?q=1", "rope", ""); r.status != 200 || !strings.Contains(r.body, `"path":"/x"`) {
+			t.Fatalf("got %d %s", r.status, r.body)
+		}
+	}
+	if spare.Executed() != 6 {
+		t.Fatalf("%d runs", spare.Executed())
+	}
+}
+
+// Guards against non-idempotent work without a claim while the platform is out, and against refusals that turn out false.
+func TestPlatformFaults(t *testing.T) {
+	b := newBed(t)
+	addr := b.gateway("vm-1")
+	b.platform.SetFaults(memplatform.Faults{Down: true})
+	r := b.declare(addr, "k", "{}")
+	if r.err.Kind != apierror.Unavailable || r.err.Run != apierror.NotRun || b.service.Executed() != 0 {
+		t.Fatalf("an outage gave %d %s after %d runs", r.status, r.body, b.service.Executed())
+	}
+	if r := b.call("GET", addr, "/svc/harvest/x", "rope", ""); r.status != 200 {
+		t.Fatalf("idempotent work stopped: %d %s", r.status, r.body)
+	}
+	b.platform.SetFaults(memplatform.Faults{})
+	if err := b.gateways["vm-1"].opts.Claims.(*claim.Store).Flush(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	b.platform.SetFaults(memplatform.Faults{LoseAnswers: 1})
+	if r := b.declare(addr, "k", "{}"); r.status != 200 || b.service.Executed() != 2 {
+		t.Fatalf("after the outage, with a lost answer: %d %s, %d runs", r.status, r.body, b.service.Executed())
+	}
+}
+
+// Guards against a claim that blocks its key although nothing was sent.
+func TestUnreachableServiceReleasesClaim(t *testing.T) {
+	b := newBed(t)
+	addr := b.pools[1].Endpoints[0].Addr
+	b.pools[1].Endpoints[0].Addr = "127.0.0.1:1"
+	r := b.declare(b.gateway("vm-1"), "k", "{}")
+	if r.err.Run != apierror.NotRun || r.status != 503 {
+		t.Fatalf("got %d %s", r.status, r.body)
+	}
+	b.pools[1].Endpoints[0].Addr = addr
+	if r := b.declare(b.gateway("vm-2"), "k", "{}"); r.status != 200 {
+		t.Fatalf("the repeat got %d %s", r.status, r.body)
+	}
+}
