Serve and speak the platform protocol over HTTP

Retries inside the client were ruled out: a repeated conditional write turns the writer's own success into a conflict. Redirects are not followed for the same reason. Result: see the package tests of httpplatform under the race detector.

--- /dev/null
+++ b/internal/platform/httpplatform/httpplatform.go
@@ -0,0 +1,306 @@
+// Package httpplatform is the client of the platform over HTTP and JSON. It implements platform.Store, Provider, UsageSink
+// and VMLister.
+//
+// The client never repeats a call. A write whose answer is lost, late or unreadable returns platform.ErrUnavailable: it may
+// have taken effect, and only the caller can recognise its own write. Retry loops belong to callers, with Backoff.
+package httpplatform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/time/rate"
+
+	"crocusglade.example/crocusglade/internal/platform"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+const (
+	// DefaultTimeout bounds one call. It is below the lease margin, so a renewal that hangs can be tried again.
+	DefaultTimeout = 1500 * time.Millisecond
+	// DefaultDialTimeout bounds the connection set-up.
+	DefaultDialTimeout = 500 * time.Millisecond
+	// DefaultRate and DefaultBurst limit the calls of one process. With four VMs and two processes on each, 50 calls per
+	// second stay below the several hundred writes per second that the platform takes.
+	DefaultRate  = 50
+	DefaultBurst = 50
+	// DefaultWatchIdle ends a watch that delivers neither event nor bookmark for this long. The platform sends a bookmark
+	// about once a second.
+	DefaultWatchIdle = 5 * time.Second
+
+	maxIdleConnections = 8
+	// maxErrorBytes bounds how much of an error answer is read into the message.
+	maxErrorBytes = 512
+)
+
+// Options configures a Client. Zero fields take the defaults above.
+type Options struct {
+	Timeout     time.Duration
+	DialTimeout time.Duration
+	Rate        float64
+	Burst       int
+	WatchIdle   time.Duration
+	// DialContext replaces the dialer, for connections that are bound to an authority.
+	DialContext func(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+// Client speaks to one platform. Its methods may be called concurrently.
+type Client struct {
+	base    *url.URL
+	http    *http.Client
+	limiter *rate.Limiter
+	timeout time.Duration
+	idle    time.Duration
+}
+
+var (
+	_ platform.Store     = (*Client)(nil)
+	_ platform.Provider  = (*Client)(nil)
+	_ platform.UsageSink = (*Client)(nil)
+	_ platform.VMLister  = (*Client)(nil)
+)
+
+// New returns a client of the platform at base, such as "http://127.0.0.1:7000".
+func New(base string, o Options) (*Client, error) {
+	u, err := url.Parse(base)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return nil, errors.Errorf("platform URL %q is not usable; give one such as http://192.0.2.1:7000", base)
+	}
+	o = o.withDefaults()
+	transport := &http.Transport{
+		DialContext:           o.DialContext,
+		MaxIdleConnsPerHost:   maxIdleConnections,
+		IdleConnTimeout:       time.Minute,
+		TLSHandshakeTimeout:   o.DialTimeout,
+		ResponseHeaderTimeout: o.Timeout,
+	}
+	return &Client{
+		base:    u,
+		http:    &http.Client{Transport: transport, CheckRedirect: noRedirect},
+		limiter: rate.NewLimiter(rate.Limit(o.Rate), o.Burst),
+		timeout: o.Timeout,
+		idle:    o.WatchIdle,
+	}, nil
+}
+
+func (o Options) withDefaults() Options {
+	if o.Timeout <= 0 {
+		o.Timeout = DefaultTimeout
+	}
+	if o.DialTimeout <= 0 {
+		o.DialTimeout = DefaultDialTimeout
+	}
+	if o.Rate <= 0 {
+		o.Rate = DefaultRate
+	}
+	if o.Burst <= 0 {
+		o.Burst = DefaultBurst
+	}
+	if o.WatchIdle <= 0 {
+		o.WatchIdle = DefaultWatchIdle
+	}
+	if o.DialContext == nil {
+		o.DialContext = (&net.Dialer{Timeout: o.DialTimeout}).DialContext
+	}
+	return o
+}
+
+// noRedirect refuses redirects, because net/http would send a write a second time to follow one. The transport itself
+// repeats PUT, POST and DELETE only when no byte of the first try was written, which is safe.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Close closes idle connections. Calls in progress end with their contexts.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Get implements platform.Store.
+func (c *Client) Get(ctx context.Context, kind, name string) (world.Object, error) {
+	var o world.Object
+	err := c.call(ctx, request{method: http.MethodGet, path: objectPath(kind, name)}, &o)
+	return o, err
+}
+
+// List implements platform.Store.
+func (c *Client) List(ctx context.Context, kind string) ([]world.Object, uint64, error) {
+	var list struct {
+		Revision uint64         `json:"revision"`
+		Items    []world.Object `json:"items"`
+	}
+	err := c.call(ctx, request{method: http.MethodGet, path: "/objects/" + url.PathEscape(kind)}, &list)
+	return list.Items, list.Revision, err
+}
+
+// Put implements platform.Store.
+func (c *Client) Put(ctx context.Context, kind, name string, data []byte, expected uint64) (uint64, error) {
+	if len(data) > platform.MaxValueBytes {
+		return 0, platform.ErrTooLarge
+	}
+	var written struct {
+		Version uint64 `json:"version"`
+	}
+	err := c.call(ctx, request{method: http.MethodPut, path: objectPath(kind, name), body: data, expected: &expected}, &written)
+	return written.Version, err
+}
+
+// Delete implements platform.Store.
+func (c *Client) Delete(ctx context.Context, kind, name string, expected uint64) error {
+	return c.call(ctx, request{method: http.MethodDelete, path: objectPath(kind, name), expected: &expected}, nil)
+}
+
+// VMs implements platform.VMLister.
+func (c *Client) VMs(ctx context.Context) ([]world.VM, error) {
+	var list struct {
+		VMs []world.VM `json:"vms"`
+	}
+	err := c.call(ctx, request{method: http.MethodGet, path: "/vms"}, &list)
+	return list.VMs, err
+}
+
+type providerView struct {
+	Version   uint64           `json:"version"`
+	Endpoints []world.Endpoint `json:"endpoints"`
+}
+
+// Endpoints implements platform.Provider.
+func (c *Client) Endpoints(ctx context.Context, pool string) (platform.ProviderView, error) {
+	var view providerView
+	err := c.call(ctx, request{method: http.MethodGet, path: "/provider/endpoints", query: url.Values{"pool": {pool}}}, &view)
+	return platform.ProviderView(view), err
+}
+
+// Order implements platform.Provider.
+func (c *Client) Order(ctx context.Context, pool string, o world.Order, expected uint64) (platform.ProviderView, error) {
+	body, err := json.Marshal(struct {
+		world.Order
+		Pool string `json:"pool"`
+	}{o, pool})
+	if err != nil {
+		return platform.ProviderView{}, errors.Wrap(err, "encode order")
+	}
+	var view providerView
+	err = c.call(ctx, request{method: http.MethodPost, path: "/provider/orders", body: body, expected: &expected}, &view)
+	return platform.ProviderView(view), err
+}
+
+// Report implements platform.UsageSink.
+func (c *Client) Report(ctx context.Context, window world.UsageWindow) error {
+	body, err := json.Marshal(window)
+	if err != nil {
+		return errors.Wrap(err, "encode usage window")
+	}
+	return c.call(ctx, request{method: http.MethodPost, path: "/usage/windows/" + url.PathEscape(window.ID), body: body}, nil)
+}
+
+func objectPath(kind, name string) string {
+	return "/objects/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
+}
+
+// request is one call. expected is nil for calls without a precondition.
+type request struct {
+	method, path string
+	query        url.Values
+	body         []byte
+	expected     *uint64
+}
+
+func (c *Client) newRequest(ctx context.Context, q request) (*http.Request, error) {
+	target := strings.TrimSuffix(c.base.String(), "/") + q.path
+	if len(q.query) > 0 {
+		target += "?" + q.query.Encode()
+	}
+	var body io.Reader
+	if q.body != nil {
+		body = bytes.NewReader(q.body)
+	}
+	r, err := http.NewRequestWithContext(ctx, q.method, target, body)
+	if err != nil {
+		return nil, errors.Wrap(err, "build platform request")
+	}
+	if q.body != nil {
+		r.Header.Set("Content-Type", "application/json")
+	}
+	switch {
+	case q.expected == nil:
+	case *q.expected == 0 && q.method == http.MethodPut:
+		r.Header.Set("If-None-Match", "*")
+	default:
+		r.Header.Set("If-Match", strconv.Quote(strconv.FormatUint(*q.expected, 10)))
+	}
+	return r, nil
+}
+
+// call sends one request, once, and decodes its answer into out.
+func (c *Client) call(ctx context.Context, q request, out any) error {
+	if err := c.limiter.Wait(ctx); err != nil {
+		return limitError(ctx, err)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	r, err := c.newRequest(callCtx, q)
+	if err != nil {
+		return err
+	}
+	resp, err := c.http.Do(r)
+	if err != nil {
+		return lost(ctx, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return answerError(resp)
+	}
+	if out == nil {
+		_, err = io.Copy(io.Discard, resp.Body)
+	} else {
+		err = json.NewDecoder(resp.Body).Decode(out)
+	}
+	if err != nil {
+		return lost(ctx, err)
+	}
+	return nil
+}
+
+// limitError maps an error of the client-side rate limit. Nothing was sent.
+func limitError(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return errors.Wrap(platform.ErrThrottled, err.Error())
+}
+
+// lost maps a call without a usable answer: the caller's own cancellation, else ErrUnavailable.
+func lost(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return errors.Wrap(platform.ErrUnavailable, err.Error())
+}
+
+// answerError maps an answer that is not 200 to a platform error.
+func answerError(resp *http.Response) error {
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	message := strings.TrimSpace(string(text))
+	switch resp.StatusCode {
+	case http.StatusNotFound:
+		return platform.ErrNotFound
+	case http.StatusPreconditionFailed, http.StatusConflict:
+		return platform.ErrConflict
+	case http.StatusGone:
+		return platform.ErrCompacted
+	case http.StatusRequestEntityTooLarge:
+		return platform.ErrTooLarge
+	case http.StatusTooManyRequests:
+		return platform.ErrThrottled
+	}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		return errors.Wrapf(platform.ErrUnavailable, "status %d: %s", resp.StatusCode, message)
+	}
+	return errors.Errorf("platform refused the call with status %d: %s; check the platform URL and version", resp.StatusCode, message)
+}
--- /dev/null
+++ b/internal/platform/httpplatform/httpplatform_test.go
@@ -0,0 +1,217 @@
+package httpplatform_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/goleak"
+
+	"crocusglade.example/crocusglade/internal/platform"
+	"crocusglade.example/crocusglade/internal/platform/httpplatform"
+	"crocusglade.example/crocusglade/internal/platform/memplatform"
+	"crocusglade.example/crocusglade/internal/standin"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func serve(t *testing.T, h http.Handler, o httpplatform.Options) *httpplatform.Client {
+	t.Helper()
+	server := httptest.NewServer(h)
+	c, err := httpplatform.New(server.URL, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close(); server.CloseClientConnections(); server.Close() })
+	return c
+}
+
+// Guards against errors of the platform that reach callers as something else than the platform's errors.
+func TestErrorsAndVersions(t *testing.T) {
+	mem := memplatform.New()
+	c := serve(t, standin.NewPlatform(mem), httpplatform.Options{})
+	ctx := t.Context()
+	version, err := c.Put(ctx, "team", "a/b", []byte(`{"x":1}`), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	o, err := c.Get(ctx, "team", "a/b")
+	if err != nil || o.Version != version || string(o.Data) != `{"x":1}` {
+		t.Fatalf("got %+v, %v", o, err)
+	}
+	_, missing := c.Get(ctx, "team", "none")
+	_, conflict := c.Put(ctx, "team", "a/b", []byte(`{}`), version+1)
+	_, exists := c.Put(ctx, "team", "a/b", []byte(`{}`), 0)
+	_, tooLarge := c.Put(ctx, "team", "big", bytes.Repeat([]byte("1"), platform.MaxValueBytes+1), 0)
+	mem.SetFaults(memplatform.Faults{Down: true})
+	_, _, down := c.List(ctx, "team")
+	mem.SetFaults(memplatform.Faults{})
+	for _, tc := range []struct{ got, want error }{
+		{missing, platform.ErrNotFound}, {conflict, platform.ErrConflict}, {exists, platform.ErrConflict},
+		{tooLarge, platform.ErrTooLarge}, {down, platform.ErrUnavailable},
+		{c.Delete(ctx, "team", "a/b", version+1), platform.ErrConflict}, {c.Delete(ctx, "team", "a/b", version), nil},
+		{c.Watch(ctx, []string{"team"}, 0, func(world.Event) error { return platform.ErrCompacted }), platform.ErrCompacted},
+	} {
+		if !errors.Is(tc.got, tc.want) {
+			t.Errorf("got %v, want %v", tc.got, tc.want)
+		}
+	}
+}
+
+// Guards against a write that the client repeats after its answer was lost, or whose loss is not reported as ErrUnavailable.
+func TestLostAnswerIsNotRetried(t *testing.T) {
+	for name, lose := range map[string]http.HandlerFunc{
+		"connection cut": func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, _ := http.NewResponseController(w).Hijack()
+			_ = conn.Close()
+		},
+		"answer cut":  func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{"vers`)) },
+		"answer late": func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
+		"redirect": func(w http.ResponseWriter, r *http.Request) {
+			http.Redirect(w, r, "/again", http.StatusTemporaryRedirect)
+		},
+	} {
+		var writes atomic.Int32
+		c := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodGet {
+				_, _ = w.Write([]byte(`{"revision":1,"items":[]}`))
+				return
+			}
+			writes.Add(1)
+			_, _ = io.Copy(io.Discard, r.Body) // net/http notices a lost client only after the body is read.
+			lose(w, r)
+		}), httpplatform.Options{Timeout: 200 * time.Millisecond})
+		// The read leaves an idle connection, over which net/http would be tempted to repeat a call.
+		if _, _, err := c.List(t.Context(), "lease"); err != nil {
+			t.Fatal(err)
+		}
+		_, err := c.Put(t.Context(), "lease", "p.orders", []byte(`{}`), 0)
+		if name != "redirect" && !errors.Is(err, platform.ErrUnavailable) || err == nil {
+			t.Errorf("%s: got %v", name, err)
+		}
+		if writes.Load() != 1 {
+			t.Errorf("%s: the write was sent %d times", name, writes.Load())
+		}
+	}
+}
+
+// Guards against watches that reorder or lose events, and that don't end in an outage.
+func TestWatch(t *testing.T) {
+	mem := memplatform.New()
+	c := serve(t, standin.NewPlatform(mem), httpplatform.Options{})
+	for _, name := range []string{"a", "b", "c"} {
+		if _, err := c.Put(t.Context(), "team", name, []byte(`{}`), 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var seen []string
+	err := c.Watch(t.Context(), []string{"team"}, 1, func(e world.Event) error {
+		if e.Type == world.EventPut {
+			seen = append(seen, e.Object.Name)
+		}
+		if len(seen) == 2 {
+			mem.SetFaults(memplatform.Faults{Down: true})
+		}
+		return nil
+	})
+	if !errors.Is(err, platform.ErrUnavailable) || strings.Join(seen, "") != "bc" {
+		t.Fatalf("saw %v, ended with %v", seen, err)
+	}
+	mem.SetFaults(memplatform.Faults{})
+	for i := range uint64(5000) {
+		_, _ = mem.Put(t.Context(), "pool", "p", []byte(`{}`), map[bool]uint64{true: 3 + i}[i > 0])
+	}
+	if err := c.Watch(t.Context(), []string{"team"}, 1, func(world.Event) error { return nil }); !errors.Is(err, platform.ErrCompacted) {
+		t.Fatalf("compacted watch: %v", err)
+	}
+}
+
+// Guards against a watch that hangs for ever on a connection that was cut without notice.
+func TestSilentWatchEnds(t *testing.T) {
+	c := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}), httpplatform.Options{WatchIdle: 50 * time.Millisecond})
+	err := c.Watch(t.Context(), []string{"team"}, 0, func(world.Event) error { return nil })
+	if !errors.Is(err, platform.ErrUnavailable) {
+		t.Fatal(err)
+	}
+}
+
+// Guards against provider orders and usage reports that lose their id, precondition or conflict on the way.
+func TestProviderAndUsage(t *testing.T) {
+	mem := memplatform.New()
+	mem.SetEndpoints("p", []world.Endpoint{{Name: "e1", State: world.EndpointReady}})
+	mem.SetVMs([]world.VM{{Name: "vm-1", State: world.VMLive}})
+	c := serve(t, standin.NewPlatform(mem), httpplatform.Options{})
+	ctx := t.Context()
+	view, err := c.Endpoints(ctx, "p")
+	if err != nil || len(view.Endpoints) != 1 {
+		t.Fatal(view, err)
+	}
+	o := world.Order{ID: "o1", Kind: world.OrderAdd, FailureDomain: "engure", Class: world.OnDemand}
+	if _, err := c.Order(ctx, "p", o, view.Version+1); !errors.Is(err, platform.ErrConflict) {
+		t.Fatal(err)
+	}
+	for range 2 {
+		if after, err := c.Order(ctx, "p", o, view.Version); err != nil || len(after.Endpoints) != 2 {
+			t.Fatal(after, err)
+		}
+	}
+	w := world.UsageWindow{ID: "300", Teams: map[string]world.Usage{"a": {Requests: 1}}}
+	if err := c.Report(ctx, w); err != nil {
+		t.Fatal(err)
+	}
+	w.Teams = map[string]world.Usage{"a": {Requests: 2}}
+	if err := c.Report(ctx, w); !errors.Is(err, platform.ErrConflict) {
+		t.Fatal(err)
+	}
+	if vms, err := c.VMs(ctx); err != nil || len(vms) != 1 {
+		t.Fatal(vms, err)
+	}
+}
+
+// Guards against a client that floods the platform, and against a call of its own that waits past its deadline.
+func TestClientRateLimit(t *testing.T) {
+	c := serve(t, standin.NewPlatform(memplatform.New()), httpplatform.Options{Rate: 0.001, Burst: 1})
+	ctx, cancel := context.WithTimeout(t.Context(), time.Hour/60)
+	defer cancel()
+	if _, err := c.VMs(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.VMs(ctx); !errors.Is(err, platform.ErrThrottled) {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a dialer option that is ignored, which would send orders outside their authority.
+func TestDialContext(t *testing.T) {
+	refused := errors.New("refused by dialer")
+	c := serve(t, standin.NewPlatform(memplatform.New()), httpplatform.Options{
+		DialContext: func(context.Context, string, string) (net.Conn, error) { return nil, refused }})
+	if _, err := c.VMs(t.Context()); !errors.Is(err, platform.ErrUnavailable) || !strings.Contains(err.Error(), refused.Error()) {
+		t.Fatal(err)
+	}
+}
+
+// Guards against back-off without bound or jitter.
+func TestBackoff(t *testing.T) {
+	b := httpplatform.Backoff{Base: 10 * time.Millisecond, Cap: 40 * time.Millisecond, Rand: rand.New(rand.NewPCG(1, 2))}
+	bound := b.Base
+	for i := range 50 {
+		if w := b.Next(); w < bound/2 || w > bound {
+			t.Fatalf("wait %d is %v, outside of [%v, %v]", i, w, bound/2, bound)
+		}
+		bound = min(2*bound, b.Cap)
+	}
+}
