Grant leases with fencing numbers and authority-bound connections

Change: lease.Keeper acquires, renews and releases by conditional update and recognises its own writes by writer id after lost answers. lease.Authority checks both clocks; connections dialled through it check it on every write and are reset when it ends. Comparing wall clocks between processes was ruled out. A lease left by the same incarnation is taken again at once with a new number, because its last term has ended by then.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -1,2 +1,245 @@
 // Package lease grants a process authority over a duty for a bounded time, with a fencing number.
 package lease
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+
+	"crocusglade.example/crocusglade/internal/platform"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+const (
+	// DefaultTTL is the lifetime of a lease after its last renewal.
+	DefaultTTL = 10 * time.Second
+	// DefaultMargin is how much earlier than the lifetime the holder stops, and how much longer candidates wait. It covers
+	// different rates of clocks and the time that bytes spend on their way.
+	DefaultMargin = 2 * time.Second
+	// DefaultRenewEvery leaves three tries before the holder stops.
+	DefaultRenewEvery = 2 * time.Second
+	// retryEvery is the wait after a failed renewal.
+	retryEvery = 250 * time.Millisecond
+	// clockCheckEvery bounds how long a suspended holder keeps its context after waking up.
+	clockCheckEvery = 250 * time.Millisecond
+	// callTimeout bounds one platform call.
+	callTimeout = 1500 * time.Millisecond
+)
+
+// Options configures a Keeper. Zero durations take the defaults.
+type Options struct {
+	Store platform.Store
+	// Name is the lease object's name, such as "<pool>.orders" or "usage".
+	Name string
+	// Holder is the unique id of this incarnation of the process. It must differ after a restart.
+	Holder                  string
+	TTL, Margin, RenewEvery time.Duration
+	// Wall reads the wall clock; nil means time.Now.
+	Wall func() time.Time
+}
+
+// Keeper acquires, renews and releases one lease.
+type Keeper struct {
+	o Options
+
+	// version and value are the lease object as last read or written.
+	version uint64
+	value   world.Lease
+	// seen is when version was first seen on the monotonic clock.
+	seen time.Time
+	// pending holds when each write of unknown outcome was sent, by writer id.
+	pending map[string]stamp
+}
+
+// NewKeeper returns a keeper. Run does the work.
+func NewKeeper(o Options) *Keeper {
+	if o.TTL <= 0 {
+		o.TTL = DefaultTTL
+	}
+	if o.Margin <= 0 {
+		o.Margin = DefaultMargin
+	}
+	if o.RenewEvery <= 0 {
+		o.RenewEvery = DefaultRenewEvery
+	}
+	if o.Wall == nil {
+		o.Wall = time.Now
+	}
+	return &Keeper{o: o, pending: make(map[string]stamp)}
+}
+
+// Run competes for the lease until ctx ends. For each term it calls lead, which must return soon after the authority's
+// context ends; the next term, or the release, waits for that. Platform errors are retried.
+func (k *Keeper) Run(ctx context.Context, lead func(*Authority)) error {
+	for ctx.Err() == nil {
+		a := k.acquire(ctx)
+		if a == nil {
+			if !sleep(ctx, min(time.Second, k.o.TTL/10)) {
+				break
+			}
+			continue
+		}
+		k.hold(a, lead)
+	}
+	return ctx.Err()
+}
+
+// hold renews while lead runs, then releases the lease.
+func (k *Keeper) hold(a *Authority, lead func(*Authority)) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		defer a.End()
+		lead(a)
+	}()
+	k.renewUntilEnd(a)
+	a.End()
+	<-done
+	k.release()
+}
+
+func (k *Keeper) renewUntilEnd(a *Authority) {
+	next := time.Now().Add(k.o.RenewEvery)
+	for a.Valid() {
+		if !sleep(a.Context(), min(clockCheckEvery, time.Until(next))) {
+			return
+		}
+		if time.Now().Before(next) {
+			continue
+		}
+		if lost := k.renew(a); lost {
+			return
+		}
+		next = time.Now().Add(k.o.RenewEvery)
+		if len(k.pending) > 0 {
+			next = time.Now().Add(retryEvery)
+		}
+	}
+}
+
+// lifetime is how long the holder may act after sending a write that is confirmed later.
+func (k *Keeper) lifetime() time.Duration { return k.o.TTL - k.o.Margin }
+
+// acquire reads the lease and, if it is free or lapsed, tries to take it. It returns nil when this process is not holder.
+func (k *Keeper) acquire(ctx context.Context) *Authority {
+	if err := k.read(ctx); err != nil {
+		return nil
+	}
+	if !k.available() {
+		return nil
+	}
+	fence := k.value.Fence + 1
+	start, err := k.write(ctx, world.Lease{Holder: k.o.Holder, Fence: fence})
+	if err != nil {
+		return nil
+	}
+	a := newAuthority(ctx, fence, start, k.lifetime(), k.o.Wall)
+	if !a.Valid() {
+		return nil
+	}
+	return a
+}
+
+// available says whether a candidate may take the lease. A lease of this incarnation is left from a term whose lead has
+// returned, or from an acquisition whose answer was lost, so it may be taken again at once, with a new fencing number.
+func (k *Keeper) available() bool {
+	if k.version == 0 || k.value.Holder == "" || k.value.Holder == k.o.Holder {
+		return true
+	}
+	ttl := max(k.o.TTL, time.Duration(k.value.TTLMS)*time.Millisecond)
+	return time.Since(k.seen) >= ttl+k.o.Margin
+}
+
+// read refreshes version and value.
+func (k *Keeper) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	o, err := k.o.Store.Get(ctx, world.KindLease, k.o.Name)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil // The first write creates the object; k.version stays as it was, so an old read can't reset it.
+	}
+	if err != nil {
+		return errors.Wrap(err, "read lease")
+	}
+	if o.Version <= k.version {
+		return nil
+	}
+	var l world.Lease
+	if err := json.Unmarshal(o.Data, &l); err != nil {
+		return errors.Wrapf(err, "lease %s is not readable; remove the object once no controller runs", k.o.Name)
+	}
+	k.version, k.value, k.seen = o.Version, l, time.Now()
+	return nil
+}
+
+// write sends one conditional update and finds out by its writer id whether it won, if its answer is lost. It returns
+// when the write was sent. After an error the outcome may be unknown; then the write stays in pending.
+func (k *Keeper) write(ctx context.Context, l world.Lease) (stamp, error) {
+	l.Writer, l.TTLMS, l.Renewal = uuid.NewString(), k.o.TTL.Milliseconds(), k.value.Renewal+1
+	data, err := json.Marshal(l)
+	if err != nil {
+		return stamp{}, errors.Wrap(err, "encode lease")
+	}
+	start := now(k.o.Wall)
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	version, err := k.o.Store.Put(callCtx, world.KindLease, k.o.Name, data, k.version)
+	cancel()
+	if err == nil {
+		clear(k.pending)
+		k.version, k.value, k.seen = version, l, time.Now()
+		return start, nil
+	}
+	if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrThrottled) {
+		k.pending[l.Writer] = start
+	}
+	if readErr := k.read(ctx); readErr != nil {
+		return stamp{}, readErr
+	}
+	if k.value.Writer == l.Writer {
+		clear(k.pending)
+		return start, nil
+	}
+	return stamp{}, err
+}
+
+// renew extends a, and reports whether another process holds the lease.
+func (k *Keeper) renew(a *Authority) (lost bool) {
+	start, err := k.write(a.Context(), world.Lease{Holder: k.o.Holder, Fence: a.Fence()})
+	if err == nil {
+		return !a.extend(start, k.lifetime())
+	}
+	if k.value.Holder != k.o.Holder || k.value.Fence != a.Fence() {
+		return true
+	}
+	// An earlier write of unknown outcome may have won in the meantime. Its time counts from when it was sent.
+	if start, ok := k.pending[k.value.Writer]; ok {
+		clear(k.pending)
+		return !a.extend(start, k.lifetime())
+	}
+	return false
+}
+
+// release gives the lease up. If it fails the lease lapses.
+func (k *Keeper) release() {
+	if k.value.Holder != k.o.Holder {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	_, _ = k.write(ctx, world.Lease{Fence: k.value.Fence})
+}
+
+// sleep returns false when ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,202 @@
+package lease
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/goleak"
+
+	"crocusglade.example/crocusglade/internal/platform"
+	"crocusglade.example/crocusglade/internal/platform/memplatform"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// frozen is a store whose calls of one process hang until its context ends, as if the process were cut off.
+type frozen struct {
+	platform.Store
+	cut atomic.Bool
+}
+
+func (f *frozen) Put(ctx context.Context, kind, name string, data []byte, v uint64) (uint64, error) {
+	if f.cut.Load() {
+		<-ctx.Done()
+		return 0, platform.ErrUnavailable
+	}
+	return f.Store.Put(ctx, kind, name, data, v)
+}
+
+// terms records the authorities of all keepers and fails when two are valid at once.
+type terms struct {
+	mu  sync.Mutex
+	all []*Authority
+}
+
+func (r *terms) lead(t *testing.T) func(*Authority) {
+	return func(a *Authority) {
+		r.mu.Lock()
+		for _, other := range r.all {
+			if other.Valid() || other.Fence() >= a.Fence() {
+				t.Errorf("term %d starts while term %d has authority or a larger number", a.Fence(), other.Fence())
+			}
+		}
+		r.all = append(r.all, a)
+		r.mu.Unlock()
+		<-a.Context().Done()
+	}
+}
+
+func (r *terms) fences() (out []uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, a := range r.all {
+		out = append(out, a.Fence())
+	}
+	return out
+}
+
+func (r *terms) first() *Authority {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.all[0]
+}
+
+func start(ctx context.Context, t *testing.T, s platform.Store, holder string, r *terms, wall func() time.Time) {
+	k := NewKeeper(Options{Store: s, Name: "p.orders", Holder: holder, Wall: wall})
+	go func() { _ = k.Run(ctx, r.lead(t)) }()
+}
+
+// Guards against two processes that hold authority at once, when candidates race and the holder is cut off past its TTL.
+func TestCutOffHolderIsReplacedOnlyAfterItStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		mem, r := memplatform.New(), &terms{}
+		cut := &frozen{Store: mem}
+		start(ctx, t, cut, "a", r, nil)
+		time.Sleep(time.Second)
+		start(ctx, t, mem, "b", r, nil)
+		start(ctx, t, mem, "c", r, nil)
+		time.Sleep(time.Minute)
+		if got := r.fences(); len(got) != 1 {
+			t.Fatalf("a live holder was replaced: terms %v", got)
+		}
+		cut.cut.Store(true)
+		time.Sleep(DefaultTTL - DefaultMargin + time.Millisecond)
+		if r.first().Valid() {
+			t.Error("the cut-off holder acts after TTL minus margin")
+		}
+		time.Sleep(time.Minute)
+		if got := r.fences(); len(got) != 2 || got[1] != 2 {
+			t.Errorf("terms %v, want one successor with number 2", got)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against a holder that loses or wrongly keeps its lease when the answers of its writes are lost.
+func TestLostAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		mem, r := memplatform.New(), &terms{}
+		mem.SetFaults(memplatform.Faults{LoseAnswers: 3})
+		start(ctx, t, mem, "a", r, nil)
+		start(ctx, t, mem, "b", r, nil)
+		time.Sleep(30 * time.Second)
+		if got := r.fences(); len(got) != 1 || !r.first().Valid() {
+			t.Errorf("terms %v, want one that lasts", got)
+		}
+		mem.UpdateFaults(func(f *memplatform.Faults) { f.Down = true })
+		time.Sleep(DefaultTTL)
+		if r.first().Valid() {
+			t.Error("authority outlives the platform")
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against a suspended VM that acts on its lease because its monotonic clock stood still.
+func TestSuspendedClock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		mem, r := memplatform.New(), &terms{}
+		var skew atomic.Int64
+		start(ctx, t, mem, "a", r, func() time.Time { return time.Now().Add(time.Duration(skew.Load())) })
+		time.Sleep(time.Second)
+		skew.Store(int64(DefaultTTL))
+		if r.first().Valid() {
+			t.Error("authority valid after a suspension of one TTL")
+		}
+		synctest.Wait()
+		if r.first().Context().Err() == nil {
+			t.Error("context outlives the authority")
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against a planned stop that leaves the duty without holder for a whole TTL.
+func TestRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		first, stop := context.WithCancel(ctx)
+		mem, r := memplatform.New(), &terms{}
+		start(first, t, mem, "a", r, nil)
+		time.Sleep(time.Second)
+		start(ctx, t, mem, "b", r, nil)
+		stop()
+		time.Sleep(2 * time.Second)
+		if got := r.fences(); len(got) != 2 {
+			t.Errorf("terms %v, want a successor within 2 s of the release", got)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against orders that leave on an open connection after the authority ended.
+func TestBoundConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	received := make(chan string, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		data, _ := io.ReadAll(c)
+		received <- string(data)
+	}()
+	var skew atomic.Int64
+	a := NewAuthority(t.Context(), 1, time.Hour, func() time.Time { return time.Now().Add(time.Duration(skew.Load())) })
+	c, err := a.DialContext(t.Context(), "tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Write([]byte("in time")); err != nil {
+		t.Fatal(err)
+	}
+	skew.Store(int64(time.Hour))
+	if _, err := c.Write([]byte(" too late")); !errors.Is(err, ErrNoAuthority) {
+		t.Errorf("write after the end gave %v", err)
+	}
+	if _, err := a.DialContext(t.Context(), "tcp", l.Addr().String()); !errors.Is(err, ErrNoAuthority) {
+		t.Errorf("dial after the end gave %v", err)
+	}
+	if got := <-received; got != "in time" && got != "" {
+		t.Errorf("the endpoint received %q", got)
+	}
+}
