Send orders under a lease with intents, take-over and endpoint queues

Change: order.Dispatcher writes an intent before each order, keeps one unresolved intent in the pool, repeats with the same id and takes over a predecessor's intents. An unresolved order at an endpoint that does not check fencing numbers abandons the endpoint and orders one substitute, whose id derives from the order. The abandoned endpoint is not removed here, because it may still run streams.

--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -1,2 +1,346 @@
 // Package order writes, sends and takes over orders to endpoints and to the provider.
+//
+// A Dispatcher belongs to one term of the lease "<pool>.orders". It writes an order's intent to the object orders/<pool>
+// before it sends the order, keeps at most one unresolved intent in the pool, and resolves what its predecessor left.
 package order
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+
+	"crocusglade.example/crocusglade/internal/lease"
+	"crocusglade.example/crocusglade/internal/platform"
+	"crocusglade.example/crocusglade/internal/platform/httpplatform"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+// Errors of a Dispatcher, possibly wrapped.
+var (
+	// ErrSuperseded: another process rewrote orders/<pool>; nothing of this write took effect.
+	ErrSuperseded = errors.New("order: another holder has taken over the pool; acquire the lease again")
+	// ErrRefused: the order had no effect and none will follow.
+	ErrRefused = errors.New("order: refused; read the reason and plan again")
+	// ErrAbandoned: the endpoint has an ambiguous order and gets no further one.
+	ErrAbandoned = errors.New("order: endpoint is abandoned after an ambiguous order; wait for its replacement")
+	// ErrUnresolved: the outcome of a provider order is unknown; it is sent again, with the same id, before the next order.
+	ErrUnresolved = errors.New("order: provider gave no answer; the order is repeated with the next one")
+)
+
+// DefaultSendFor bounds the tries to get an answer to one order. It is the lifetime of a lease: an endpoint that is silent
+// for that long is handled as lost.
+const DefaultSendFor = lease.DefaultTTL
+
+// Options configures a Dispatcher.
+type Options struct {
+	Pool      string
+	Holder    string
+	Authority *lease.Authority
+	Store     platform.Store
+	// Provider should use connections bound to Authority (httpplatform.Options.DialContext).
+	Provider platform.Provider
+	// Endpoint finds an endpoint of the pool by name.
+	Endpoint func(name string) (world.Endpoint, bool)
+	// SendFor bounds the tries of one order; zero means DefaultSendFor.
+	SendFor time.Duration
+	// Control sends an order to an engine; nil means the control protocol over connections bound to Authority.
+	Control Control
+}
+
+// Dispatcher sends the orders of one pool during one term. Its methods may be called concurrently.
+type Dispatcher struct {
+	o Options
+	// sending has room for one token: whoever holds it may have an unresolved intent.
+	sending chan struct{}
+
+	queueMu sync.Mutex
+	queues  map[string]chan struct{}
+
+	// mu guards the object's state and is held while the object is written.
+	mu      sync.Mutex
+	state   world.PoolOrders
+	version uint64
+}
+
+// New returns a dispatcher. TakeOver must succeed before other methods are called.
+func New(o Options) *Dispatcher {
+	if o.SendFor <= 0 {
+		o.SendFor = DefaultSendFor
+	}
+	if o.Control == nil {
+		o.Control = newHTTPControl(o.Authority)
+	}
+	return &Dispatcher{o: o, sending: make(chan struct{}, 1), queues: make(map[string]chan struct{})}
+}
+
+// State returns a copy of orders/<pool> as last written by this dispatcher.
+func (d *Dispatcher) State() world.PoolOrders {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return clone(d.state)
+}
+
+// Action is a sequence of orders to one endpoint with which no other duty's orders interleave. End must be called.
+type Action struct {
+	d        *Dispatcher
+	endpoint string
+	queue    chan struct{}
+	once     sync.Once
+}
+
+// Begin waits for its turn in the endpoint's queue.
+func (d *Dispatcher) Begin(ctx context.Context, endpoint string) (*Action, error) {
+	d.queueMu.Lock()
+	queue, ok := d.queues[endpoint]
+	if !ok {
+		queue = make(chan struct{}, 1)
+		d.queues[endpoint] = queue
+	}
+	d.queueMu.Unlock()
+	if err := d.take(ctx, queue); err != nil {
+		return nil, err
+	}
+	return &Action{d: d, endpoint: endpoint, queue: queue}, nil
+}
+
+// End lets the next action on the endpoint begin.
+func (a *Action) End() { a.once.Do(func() { <-a.queue }) }
+
+// Submit sends an order to the action's endpoint and returns once its outcome is known.
+func (a *Action) Submit(ctx context.Context, o world.Order) error {
+	if o.Endpoint != a.endpoint {
+		return errors.Errorf("order for endpoint %q in an action on %q; begin an action on the right endpoint", o.Endpoint, a.endpoint)
+	}
+	return a.d.submit(ctx, o)
+}
+
+// Submit queues an order behind other actions on its endpoint and returns once its outcome is known. An empty id is filled
+// in; repeating a submission with the same id has no second effect. The fencing number is set here.
+func (d *Dispatcher) Submit(ctx context.Context, o world.Order) error {
+	if o.Endpoint == "" {
+		return d.submit(ctx, o)
+	}
+	a, err := d.Begin(ctx, o.Endpoint)
+	if err != nil {
+		return err
+	}
+	defer a.End()
+	return a.Submit(ctx, o)
+}
+
+func (d *Dispatcher) submit(ctx context.Context, o world.Order) error {
+	if err := d.take(ctx, d.sending); err != nil {
+		return err
+	}
+	defer func() { <-d.sending }()
+	ctx, cancel := d.bound(ctx)
+	defer cancel()
+	if err := d.resolveAll(ctx, false); err != nil {
+		return err
+	}
+	if slices.Contains(d.State().Abandoned, o.Endpoint) && o.Kind != world.OrderRemove {
+		return ErrAbandoned
+	}
+	return d.dispatch(ctx, o, false)
+}
+
+// dispatch writes the intent, then sends the order. sent says that an earlier try may have arrived. The caller holds the
+// sending token.
+func (d *Dispatcher) dispatch(ctx context.Context, o world.Order, sent bool) error {
+	if o.ID == "" {
+		o.ID = uuid.NewString()
+	}
+	o.Fence = d.o.Authority.Fence()
+	intent := world.Intent{Order: o, State: world.IntentPending}
+	if err := d.save(ctx, func(s *world.PoolOrders) { setIntent(s, intent) }); err != nil {
+		return err
+	}
+	return d.send(ctx, o, sent)
+}
+
+// TakeOver rewrites orders/<pool> with the dispatcher's own fencing number, so that a stale holder's next intent fails, and
+// resolves the predecessor's intents.
+func (d *Dispatcher) TakeOver(ctx context.Context) error {
+	if err := d.take(ctx, d.sending); err != nil {
+		return err
+	}
+	defer func() { <-d.sending }()
+	ctx, cancel := d.bound(ctx)
+	defer cancel()
+	if err := d.rewrite(ctx); err != nil {
+		return err
+	}
+	if err := d.resolveAll(ctx, true); err != nil && !errors.Is(err, ErrUnresolved) {
+		return err
+	}
+	return nil
+}
+
+// rewrite puts the dispatcher's fencing number into the object. It reads again when the object changed under it: by a stale
+// holder, whose number is smaller, or because the platform served an old read.
+func (d *Dispatcher) rewrite(ctx context.Context) error {
+	var wait httpplatform.Backoff
+	for {
+		if err := d.load(ctx); err != nil {
+			return err
+		}
+		err := d.save(ctx, func(*world.PoolOrders) {})
+		if !errors.Is(err, ErrSuperseded) {
+			return err
+		}
+		if wait.Wait(ctx) != nil {
+			return d.ended(ctx)
+		}
+	}
+}
+
+// resolveAll deals with all intents without a final state. inherited says that a predecessor sent them.
+func (d *Dispatcher) resolveAll(ctx context.Context, inherited bool) error {
+	for _, i := range d.State().Intents {
+		var err error
+		switch i.State {
+		case world.IntentPending:
+			err = d.resolve(ctx, i.Order, inherited)
+		case world.IntentAmbiguous:
+			err = d.replace(ctx, i.Order)
+		}
+		if err != nil && !errors.Is(err, ErrRefused) && !errors.Is(err, ErrAbandoned) {
+			return err
+		}
+	}
+	return nil
+}
+
+// resolve sends an unresolved order again with the same id, or abandons its endpoint when a late copy of the predecessor's
+// order could not be told from a new one.
+func (d *Dispatcher) resolve(ctx context.Context, o world.Order, inherited bool) error {
+	if toProvider(o.Kind) {
+		return d.dispatch(ctx, o, true)
+	}
+	e, known := d.o.Endpoint(o.Endpoint)
+	if inherited && !(known && e.ChecksFence) {
+		return d.abandon(ctx, o, "sent by an earlier holder to an endpoint that does not check fencing numbers")
+	}
+	return d.dispatch(ctx, o, true)
+}
+
+// abandon marks an order ambiguous, drains its endpoint and orders a replacement.
+func (d *Dispatcher) abandon(ctx context.Context, o world.Order, reason string) error {
+	err := d.save(ctx, func(s *world.PoolOrders) {
+		setIntent(s, world.Intent{Order: o, State: world.IntentAmbiguous, Reason: reason})
+		if !slices.Contains(s.Abandoned, o.Endpoint) {
+			s.Abandoned = append(s.Abandoned, o.Endpoint)
+		}
+		setEntry(&s.Drained, o.Endpoint, "ambiguous order "+o.ID+": "+reason)
+	})
+	if err != nil {
+		return err
+	}
+	if err := d.replace(ctx, o); err != nil && !errors.Is(err, ErrRefused) {
+		return err
+	}
+	return ErrAbandoned
+}
+
+// replace orders a substitute for the endpoint of an ambiguous order. Its id derives from the order, so a successor that
+// repeats it gets one substitute. Removing the abandoned endpoint is left to the planner, since it may still run streams.
+func (d *Dispatcher) replace(ctx context.Context, ambiguous world.Order) error {
+	if e, known := d.o.Endpoint(ambiguous.Endpoint); known {
+		err := d.dispatch(ctx, world.Order{ID: "replace-" + ambiguous.ID, Kind: world.OrderAdd,
+			FailureDomain: e.FailureDomain, Class: e.Class}, true)
+		if err != nil {
+			return err
+		}
+	}
+	return d.save(ctx, func(s *world.PoolOrders) {
+		s.Intents = slices.DeleteFunc(s.Intents, func(i world.Intent) bool { return i.Order.ID == ambiguous.ID })
+	})
+}
+
+// Drain lists an endpoint as drained, with the reason; gateways send it no new work.
+func (d *Dispatcher) Drain(ctx context.Context, endpoint, reason string) error {
+	return d.edit(ctx, func(s *world.PoolOrders) { setEntry(&s.Drained, endpoint, reason) })
+}
+
+// Undrain removes an endpoint from the drained list. It returns ErrAbandoned for an abandoned endpoint.
+func (d *Dispatcher) Undrain(ctx context.Context, endpoint string) error {
+	if slices.Contains(d.State().Abandoned, endpoint) {
+		return ErrAbandoned
+	}
+	return d.edit(ctx, func(s *world.PoolOrders) { delete(s.Drained, endpoint) })
+}
+
+// SetCleaned records the time of an endpoint's last cleaning.
+func (d *Dispatcher) SetCleaned(ctx context.Context, endpoint string, at time.Time) error {
+	return d.edit(ctx, func(s *world.PoolOrders) { setEntry(&s.Cleaned, endpoint, at.UnixMilli()) })
+}
+
+// ClearCleaned forgets an endpoint's cleaning, for an endpoint that is gone.
+func (d *Dispatcher) ClearCleaned(ctx context.Context, endpoint string) error {
+	return d.edit(ctx, func(s *world.PoolOrders) { delete(s.Cleaned, endpoint) })
+}
+
+// Forget drops all entries of an endpoint that the provider no longer lists.
+func (d *Dispatcher) Forget(ctx context.Context, endpoint string) error {
+	return d.edit(ctx, func(s *world.PoolOrders) {
+		delete(s.Drained, endpoint)
+		delete(s.Cleaned, endpoint)
+		s.Abandoned = slices.DeleteFunc(s.Abandoned, func(name string) bool { return name == endpoint })
+	})
+}
+
+func (d *Dispatcher) edit(ctx context.Context, change func(*world.PoolOrders)) error {
+	ctx, cancel := d.bound(ctx)
+	defer cancel()
+	return d.save(ctx, change)
+}
+
+// bound returns a context that also ends with the authority.
+func (d *Dispatcher) bound(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(d.o.Authority.Context(), cancel)
+	return ctx, func() { stop(); cancel() }
+}
+
+// take puts a token into a queue of one. Waiting senders are served in order of arrival.
+func (d *Dispatcher) take(ctx context.Context, queue chan struct{}) error {
+	select {
+	case queue <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-d.o.Authority.Context().Done():
+		return lease.ErrNoAuthority
+	}
+}
+
+func toProvider(k world.OrderKind) bool {
+	return k == world.OrderAdd || k == world.OrderRemove || k == world.OrderClean
+}
+
+// setIntent replaces resolved intents, and the intent with the same order id, by i.
+func setIntent(s *world.PoolOrders, i world.Intent) {
+	i.At = time.Now().UnixMilli()
+	s.Intents = slices.DeleteFunc(s.Intents, func(old world.Intent) bool {
+		return old.Order.ID == i.Order.ID || old.State == world.IntentDone || old.State == world.IntentRefused
+	})
+	s.Intents = append(s.Intents, i)
+}
+
+func setEntry[V any](m *map[string]V, key string, value V) {
+	if *m == nil {
+		*m = make(map[string]V)
+	}
+	(*m)[key] = value
+}
+
+func clone(s world.PoolOrders) world.PoolOrders {
+	s.Intents, s.Abandoned = slices.Clone(s.Intents), slices.Clone(s.Abandoned)
+	s.Cleaned, s.Drained = maps.Clone(s.Cleaned), maps.Clone(s.Drained)
+	return s
+}
--- /dev/null
+++ b/internal/order/order_test.go
@@ -0,0 +1,251 @@
+package order
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/goleak"
+
+	"crocusglade.example/crocusglade/internal/lease"
+	"crocusglade.example/crocusglade/internal/platform/memplatform"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// engine is a fake control interface that applies each id once and checks fencing numbers where told.
+type engine struct {
+	mu      sync.Mutex
+	checks  bool
+	fence   uint64
+	applied []string
+	// lose makes this many following orders take effect without an answer; hang makes orders wait for their context.
+	lose int
+	hang bool
+}
+
+func (e *engine) Order(ctx context.Context, _ world.Endpoint, o world.Order) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.hang {
+		e.mu.Unlock()
+		<-ctx.Done()
+		e.mu.Lock()
+		return ctx.Err()
+	}
+	if e.checks && o.Fence < e.fence {
+		return errors.Wrap(ErrRefused, "old fencing number")
+	}
+	e.fence = max(e.fence, o.Fence)
+	if !slices.Contains(e.applied, o.ID) {
+		e.applied = append(e.applied, o.ID)
+	}
+	if e.lose > 0 {
+		e.lose--
+		return errors.New("connection reset")
+	}
+	return nil
+}
+
+type fixture struct {
+	mem    *memplatform.Platform
+	engine *engine
+}
+
+func newFixture(checks bool) *fixture {
+	f := &fixture{memplatform.New(), &engine{checks: checks}}
+	f.mem.SetEndpoints("p", []world.Endpoint{{Name: "e1", FailureDomain: "roja", Class: world.OnDemand}})
+	return f
+}
+
+func (f *fixture) dispatcher(a *lease.Authority) *Dispatcher {
+	return New(Options{Pool: "p", Holder: "h", Authority: a, Store: f.mem, Provider: f.mem, Control: f.engine,
+		Endpoint: func(name string) (world.Endpoint, bool) {
+			return world.Endpoint{Name: name, FailureDomain: "roja", Class: world.OnDemand, ChecksFence: f.engine.checks}, name == "e1"
+		}})
+}
+
+// takeOver starts a term that ends with the test.
+func (f *fixture) takeOver(t *testing.T, fence uint64) (*Dispatcher, *lease.Authority) {
+	a := lease.NewAuthority(t.Context(), fence, time.Hour, nil)
+	d := f.dispatcher(a)
+	if err := d.TakeOver(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	return d, a
+}
+
+func setRole(id string) world.Order {
+	return world.Order{ID: id, Kind: world.OrderSetRole, Value: "decode", Endpoint: "e1"}
+}
+
+func wantErr(t *testing.T, got, want error) {
+	t.Helper()
+	if !errors.Is(got, want) {
+		t.Errorf("got error %v, want %v", got, want)
+	}
+}
+
+// Guards against a stale holder whose intent is still accepted after a take-over, and against its late order at an engine
+// that checks fencing numbers.
+func TestStaleHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(true)
+		stale, a1 := f.takeOver(t, 1)
+		next, a2 := f.takeOver(t, 2)
+		defer a1.End()
+		defer a2.End()
+		wantErr(t, stale.Submit(t.Context(), setRole("late")), ErrSuperseded)
+		wantErr(t, next.Submit(t.Context(), setRole("o2")), nil)
+		wantErr(t, f.engine.Order(t.Context(), world.Endpoint{}, world.Order{ID: "late", Fence: 1}), ErrRefused)
+		if !slices.Equal(f.engine.applied, []string{"o2"}) {
+			t.Errorf("applied %v", f.engine.applied)
+		}
+		wantErr(t, f.dispatcher(a1).TakeOver(t.Context()), ErrSuperseded)
+		a2.End()
+		wantErr(t, next.Submit(t.Context(), setRole("o3")), lease.ErrNoAuthority)
+	})
+}
+
+// Guards against orders that are sent twice or forgotten when answers of the platform, the engine or the provider are lost.
+func TestLostAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(false)
+		f.mem.SetFaults(memplatform.Faults{LoseAnswers: 1})
+		d, a := f.takeOver(t, 1)
+		defer a.End()
+		f.mem.SetFaults(memplatform.Faults{LoseAnswers: 2})
+		f.engine.lose = 3
+		wantErr(t, d.Submit(t.Context(), setRole("o1")), nil)
+		f.mem.SetFaults(memplatform.Faults{LoseAnswers: 4})
+		wantErr(t, d.Submit(t.Context(), world.Order{ID: "o2", Kind: world.OrderAdd, FailureDomain: "roja", Class: world.OnDemand}), nil)
+		view, err := f.mem.Endpoints(t.Context(), "p")
+		if err != nil || len(view.Endpoints) != 2 || len(f.engine.applied) != 1 {
+			t.Errorf("endpoints %v, engine applied %v, %v", view.Endpoints, f.engine.applied, err)
+		}
+		if got := d.State().Intents; len(got) != 1 || got[0].State != world.IntentDone {
+			t.Errorf("intents %+v", got)
+		}
+	})
+}
+
+// leaveUnresolved makes a first holder lose its authority while its order is under way.
+func (f *fixture) leaveUnresolved(t *testing.T) {
+	f.engine.hang = true
+	d, a := f.takeOver(t, 1)
+	time.AfterFunc(time.Second, a.End)
+	wantErr(t, d.Submit(t.Context(), setRole("o1")), lease.ErrNoAuthority)
+	f.engine.hang = false
+	f.engine.applied = nil
+}
+
+// Guards against a successor that forgets an unresolved order at an engine that checks fencing numbers.
+func TestSuccessorReissues(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(true)
+		f.leaveUnresolved(t)
+		d, a := f.takeOver(t, 2)
+		defer a.End()
+		if !slices.Equal(f.engine.applied, []string{"o1"}) || f.engine.fence != 2 || len(d.State().Abandoned) != 0 {
+			t.Errorf("applied %v with number %d; state %+v", f.engine.applied, f.engine.fence, d.State())
+		}
+	})
+}
+
+// Guards against a second order to an endpoint that ignores fencing numbers and may still receive the first, and against
+// an abandoned endpoint that is not replaced or is replaced twice.
+func TestAmbiguousEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(false)
+		f.leaveUnresolved(t)
+		for fence := uint64(2); fence < 4; fence++ {
+			f.mem.UpdateFaults(func(x *memplatform.Faults) { x.LoseAnswers = 3 })
+			d, a := f.takeOver(t, fence)
+			defer a.End()
+			wantErr(t, d.Submit(t.Context(), setRole("o2")), ErrAbandoned)
+			wantErr(t, d.Undrain(t.Context(), "e1"), ErrAbandoned)
+			s := d.State()
+			if len(f.engine.applied) != 0 || !slices.Equal(s.Abandoned, []string{"e1"}) || !strings.Contains(s.Drained["e1"], "o1") {
+				t.Errorf("applied %v; state %+v", f.engine.applied, s)
+			}
+			if view, err := f.mem.Endpoints(t.Context(), "p"); err != nil || len(view.Endpoints) != 2 {
+				t.Errorf("endpoints %v, %v; want the old one and one substitute", view.Endpoints, err)
+			}
+		}
+	})
+}
+
+// Guards against an engine without answer that blocks the pool's orders for ever, and against two unresolved intents.
+func TestSilentEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(true)
+		d, a := f.takeOver(t, 1)
+		defer a.End()
+		f.engine.hang = true
+		go func() { wantErr(t, d.Submit(t.Context(), setRole("o1")), ErrAbandoned) }()
+		time.Sleep(time.Second)
+		wantErr(t, d.Submit(t.Context(), world.Order{ID: "o2", Kind: world.OrderAdd, FailureDomain: "roja", Class: world.OnDemand}), nil)
+		if s := d.State(); !slices.Equal(s.Abandoned, []string{"e1"}) || len(s.Intents) != 1 {
+			t.Errorf("state %+v", s)
+		}
+	})
+}
+
+// Guards against duties whose orders to one endpoint interleave, such as a role change in the middle of a cleaning.
+func TestActionsDoNotInterleave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(true)
+		d, a := f.takeOver(t, 1)
+		defer a.End()
+		cleaning, err := d.Begin(t.Context(), "e1")
+		wantErr(t, err, nil)
+		go func() { wantErr(t, d.Submit(t.Context(), setRole("role")), nil) }()
+		synctest.Wait()
+		for _, o := range []world.Order{{ID: "drain", Kind: world.OrderDrain, Endpoint: "e1"}, {ID: "resume", Kind: world.OrderResume, Endpoint: "e1"}} {
+			wantErr(t, cleaning.Submit(t.Context(), o), nil)
+		}
+		wantErr(t, d.SetCleaned(t.Context(), "e1", time.Now()), nil)
+		cleaning.End()
+		synctest.Wait()
+		if !slices.Equal(f.engine.applied, []string{"drain", "resume", "role"}) || d.State().Cleaned["e1"] == 0 {
+			t.Errorf("applied %v; state %+v", f.engine.applied, d.State())
+		}
+	})
+}
+
+// Guards against answers of the control protocol that are read wrongly: a refusal taken for an unknown outcome, or an
+// order that never left taken for one that may have arrived.
+func TestControlProtocol(t *testing.T) {
+	status := http.StatusOK
+	var got world.Order
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_ = json.NewDecoder(r.Body).Decode(&got)
+		w.WriteHeader(status)
+	}))
+	a := lease.NewAuthority(t.Context(), 7, time.Hour, nil)
+	e := world.Endpoint{Addr: server.Listener.Addr().String()}
+	o := world.Order{ID: "o1", Fence: 7, Kind: world.OrderSetRole, Value: "decode"}
+	wantErr(t, newHTTPControl(a).Order(t.Context(), e, o), nil)
+	if got != o {
+		t.Errorf("sent %+v", got)
+	}
+	status = http.StatusConflict
+	wantErr(t, newHTTPControl(a).Order(t.Context(), e, o), ErrRefused)
+	status = http.StatusInternalServerError
+	if err := newHTTPControl(a).Order(t.Context(), e, o); err == nil || errors.Is(err, ErrRefused) || errors.Is(err, ErrNotSent) {
+		t.Errorf("status 500 gave %v", err)
+	}
+	server.Close()
+	wantErr(t, newHTTPControl(a).Order(t.Context(), e, o), ErrNotSent)
+	a.End()
+	wantErr(t, newHTTPControl(a).Order(t.Context(), e, o), ErrNotSent)
+}
