Count, copy, seal and report usage windows

Counts that no peer holds move out of a closed window; they stay while a peer's answer is unknown, because moving them could bill them twice. usage.Sealer collects, seals by conditional create and reports only sealed figures. An empty VM list seals nothing.

--- /dev/null
+++ b/internal/usage/sealer.go
@@ -0,0 +1,279 @@
+package usage
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"crocusglade.example/crocusglade/internal/lease"
+	"crocusglade.example/crocusglade/internal/platform"
+	"crocusglade.example/crocusglade/internal/platform/httpplatform"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+const (
+	// toleranceAfter is how long after a window's end one missing answer is waited for.
+	toleranceAfter = 30 * time.Second
+	// collectTimeout bounds one round of asking gateways, collectEvery is the wait between rounds.
+	collectTimeout = 2 * time.Second
+	collectEvery   = time.Second
+	// sealedKept is how long sealed windows stay on the platform.
+	sealedKept = 35 * 24 * time.Hour
+)
+
+// Collected is a gateway's answer for a window.
+type Collected struct {
+	Incarnation string
+	Counters    []Counter
+}
+
+// Collector closes a window at the gateway of a VM and returns its counters.
+type Collector interface {
+	CollectWindow(ctx context.Context, vm world.VM, window int64, holder string, fence uint64) (Collected, error)
+}
+
+// Sealer collects, seals and reports windows while its process holds the lease "usage".
+type Sealer struct {
+	Store platform.Store
+	VMs   platform.VMLister
+	// Sink should use connections bound to the authority (httpplatform.Options.DialContext).
+	Sink      platform.UsageSink
+	Collector Collector
+	Holder    string
+	// WindowLength is in seconds; zero means world.WindowLength.
+	WindowLength int64
+}
+
+// Run seals and reports every window that has ended, until the authority ends. It fits lease.Keeper.Run.
+func (s *Sealer) Run(a *lease.Authority) {
+	var wait httpplatform.Backoff
+	for a.Valid() {
+		if err := s.pass(a); err != nil {
+			_ = wait.Wait(a.Context()) // The loop's condition sees the end of the authority.
+			continue
+		}
+		wait.Reset()
+		_ = sleep(a.Context(), collectEvery)
+	}
+}
+
+// pass reports sealed windows that are not reported yet, then seals and reports what has ended since. A window that can't be
+// finished, such as one with a conflicting report, holds up no other window; the first error is returned.
+func (s *Sealer) pass(a *lease.Authority) error {
+	sealed, _, err := s.Store.List(a.Context(), world.KindWindow)
+	if err != nil {
+		return errors.Wrap(err, "list sealed windows")
+	}
+	length := s.length()
+	end := time.Now().Unix()/length*length - length
+	next := end
+	var failed error
+	for _, o := range sealed {
+		start, err := strconv.ParseInt(o.Name, 10, 64)
+		if err != nil {
+			continue // Not written by a sealer.
+		}
+		if err := s.finish(a, o, start); err != nil && failed == nil {
+			failed = err
+		}
+	}
+	if len(sealed) > 0 {
+		next = s.firstUnsealed(sealed)
+	}
+	for ; next <= end; next += length {
+		if _, err := s.Seal(a, next); err != nil && failed == nil {
+			failed = err
+		}
+	}
+	return failed
+}
+
+// firstUnsealed returns the start of the window after the newest sealed one. Windows are sealed in order.
+func (s *Sealer) firstUnsealed(sealed []world.Object) int64 {
+	var next int64
+	for _, o := range sealed {
+		if start, err := strconv.ParseInt(o.Name, 10, 64); err == nil {
+			next = max(next, start+s.length())
+		}
+	}
+	return next
+}
+
+// finish reports a sealed window if needed, and deletes it after its retention.
+func (s *Sealer) finish(a *lease.Authority, o world.Object, start int64) error {
+	var w world.UsageWindow
+	if err := json.Unmarshal(o.Data, &w); err != nil {
+		return errors.Wrapf(err, "window %s is not readable; repair the object", o.Name)
+	}
+	if !w.Reported {
+		return s.report(a, w, o.Version)
+	}
+	if time.Since(time.Unix(start, 0)) > sealedKept && a.Valid() {
+		return s.Store.Delete(a.Context(), world.KindWindow, o.Name, o.Version)
+	}
+	return nil
+}
+
+// Seal collects a window, seals it and reports the sealed figures. When another process sealed it first, those figures are
+// the ones that are reported and returned.
+func (s *Sealer) Seal(a *lease.Authority, window int64) (world.UsageWindow, error) {
+	w, err := s.collect(a, window)
+	if err != nil {
+		return w, err
+	}
+	w, version, err := s.create(a, w)
+	if err != nil || w.Reported {
+		return w, err
+	}
+	return w, s.report(a, w, version)
+}
+
+// collect asks gateways until enough have answered.
+func (s *Sealer) collect(a *lease.Authority, window int64) (world.UsageWindow, error) {
+	answers := make(map[string]Collected)
+	tolerant := time.Unix(window+s.length(), 0).Add(toleranceAfter)
+	for {
+		missing, err := s.collectRound(a, window, answers)
+		tolerated := len(missing) == 1 && !time.Now().Before(tolerant)
+		if err == nil && (len(missing) == 0 || tolerated) {
+			return s.merge(a, window, answers, missing), nil
+		}
+		if !sleep(a.Context(), collectEvery) {
+			return world.UsageWindow{}, lease.ErrNoAuthority
+		}
+	}
+}
+
+// collectRound asks the gateways that have not answered, and returns the names of VMs that still have not.
+func (s *Sealer) collectRound(a *lease.Authority, window int64, answers map[string]Collected) ([]string, error) {
+	ctx, cancel := context.WithTimeout(a.Context(), collectTimeout)
+	defer cancel()
+	vms, err := s.VMs.VMs(ctx)
+	if err != nil {
+		return nil, errors.Wrap(err, "list VMs")
+	}
+	if len(vms) == 0 {
+		return nil, errors.New("the list of VMs is empty; a window sealed from it would bill nothing")
+	}
+	vms = slices.DeleteFunc(vms, func(vm world.VM) bool { _, ok := answers[vm.Name]; return ok })
+	got, failed := make([]Collected, len(vms)), make([]error, len(vms))
+	var wg sync.WaitGroup
+	for i, vm := range vms {
+		wg.Go(func() { got[i], failed[i] = s.Collector.CollectWindow(ctx, vm, window, s.Holder, a.Fence()) })
+	}
+	wg.Wait()
+	var missing []string
+	for i, vm := range vms {
+		if failed[i] != nil {
+			missing = append(missing, vm.Name)
+			continue
+		}
+		answers[vm.Name] = got[i]
+	}
+	slices.Sort(missing)
+	return missing, nil
+}
+
+// merge takes the largest value of each counter, then sums over incarnations. It names the VMs without an answer and the
+// incarnations that only copies cover.
+func (s *Sealer) merge(a *lease.Authority, window int64, answers map[string]Collected, missing []string) world.UsageWindow {
+	counters := make(map[counterKey]world.Usage)
+	answered := make(map[string]bool)
+	for _, c := range answers {
+		answered[c.Incarnation] = true
+		for _, n := range c.Counters {
+			k := counterKey{n.Incarnation, window, n.Team}
+			counters[k] = larger(counters[k], n.Usage)
+		}
+	}
+	covered := make(map[string]bool)
+	for _, name := range missing {
+		covered[name] = true
+	}
+	w := world.UsageWindow{ID: strconv.FormatInt(window, 10), Sealer: s.Holder, Fence: a.Fence(), Teams: make(map[string]world.Usage)}
+	for k, u := range counters {
+		w.Teams[k.team] = plus(w.Teams[k.team], u)
+		if !answered[k.incarnation] {
+			covered[k.incarnation] = true
+		}
+	}
+	w.Missing = slices.Sorted(maps.Keys(covered))
+	return w
+}
+
+// create seals by conditional create. It returns the figures in force, whoever wrote them.
+func (s *Sealer) create(a *lease.Authority, w world.UsageWindow) (world.UsageWindow, uint64, error) {
+	data, err := json.Marshal(w)
+	if err != nil {
+		return w, 0, errors.Wrap(err, "encode window")
+	}
+	var wait httpplatform.Backoff
+	for a.Valid() {
+		version, err := s.Store.Put(a.Context(), world.KindWindow, w.ID, data, 0)
+		if err == nil {
+			return w, version, nil
+		}
+		// A conflict or a lost answer: the window may be sealed, by this process or by another.
+		if o, readErr := s.Store.Get(a.Context(), world.KindWindow, w.ID); readErr == nil {
+			var sealed world.UsageWindow
+			if err := json.Unmarshal(o.Data, &sealed); err != nil {
+				return w, 0, errors.Wrapf(err, "window %s is not readable; repair the object", w.ID)
+			}
+			return sealed, o.Version, nil
+		}
+		_ = wait.Wait(a.Context()) // The loop's condition sees the end of the authority.
+	}
+	return w, 0, lease.ErrNoAuthority
+}
+
+// report sends the sealed figures until the platform accepts them, then marks the window as reported. The window's id makes
+// a repetition harmless. A conflict means that other figures were reported before and needs an operator.
+func (s *Sealer) report(a *lease.Authority, w world.UsageWindow, version uint64) error {
+	var wait httpplatform.Backoff
+	for {
+		if !a.Valid() {
+			return lease.ErrNoAuthority
+		}
+		err := s.Sink.Report(a.Context(), w)
+		if err == nil {
+			break
+		}
+		if errors.Is(err, platform.ErrConflict) {
+			return errors.Wrapf(err, "window %s was reported with figures other than the sealed ones; compare both", w.ID)
+		}
+		_ = wait.Wait(a.Context()) // The loop's condition sees the end of the authority.
+	}
+	w.Reported = true
+	data, err := json.Marshal(w)
+	if err != nil {
+		return errors.Wrap(err, "encode window")
+	}
+	// If this fails or its answer is lost, the next pass reports the same figures again, which has no effect.
+	_, err = s.Store.Put(a.Context(), world.KindWindow, w.ID, data, version)
+	return err
+}
+
+func (s *Sealer) length() int64 {
+	if s.WindowLength > 0 {
+		return s.WindowLength
+	}
+	return world.WindowLength
+}
+
+// sleep returns false when ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/usage/usage_test.go
@@ -0,0 +1,285 @@
+package usage
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/goleak"
+
+	"crocusglade.example/crocusglade/internal/lease"
+	"crocusglade.example/crocusglade/internal/platform"
+	"crocusglade.example/crocusglade/internal/platform/memplatform"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var one = world.Usage{Requests: 1, PromptTokens: 10, OutputTokens: 5}
+
+// network connects ledgers by name. Names in down don't answer; names in lost accept copies but lose the answer.
+type network struct {
+	mu         sync.Mutex
+	ledgers    map[string]*Ledger
+	down, lost map[string]bool
+	copies     int
+}
+
+func newNetwork(names ...string) *network {
+	n := &network{ledgers: make(map[string]*Ledger), down: make(map[string]bool), lost: make(map[string]bool)}
+	for i, name := range names {
+		peers := []string{names[(i+1)%len(names)], names[(i+2)%len(names)]}
+		n.ledgers[name] = NewLedger(Options{Incarnation: name, Copier: n, Peers: func() []string { return peers }})
+	}
+	return n
+}
+
+func (n *network) set(m map[string]bool, name string, v bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	m[name] = v
+}
+
+func (n *network) CopyUsage(_ context.Context, peer string, counters []Counter) ([]int64, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.copies++
+	if n.down[peer] {
+		return nil, errors.New("no answer")
+	}
+	closed := n.ledgers[peer].Accept(counters)
+	if n.lost[peer] {
+		return nil, errors.New("answer lost")
+	}
+	return closed, nil
+}
+
+func (n *network) CollectWindow(_ context.Context, vm world.VM, window int64, _ string, _ uint64) (Collected, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.down[vm.Name] {
+		return Collected{}, errors.New("no answer")
+	}
+	return Collected{Incarnation: vm.Name, Counters: n.ledgers[vm.Name].Close(window)}, nil
+}
+
+func (n *network) run(ctx context.Context) {
+	for _, l := range n.ledgers {
+		go func() { _ = l.Run(ctx) }()
+	}
+}
+
+func window() int64 { return time.Now().Unix() / world.WindowLength * world.WindowLength }
+
+// held sums what a ledger answers for a team and an incarnation in a window.
+func held(l *Ledger, w int64, incarnation string) (u world.Usage) {
+	for _, c := range l.Close(w) {
+		if c.Incarnation == incarnation {
+			u = plus(u, c.Usage)
+		}
+	}
+	return u
+}
+
+// Guards against records that return before a peer holds them, and against one copy per record.
+func TestRecordsAreCopiedInGroups(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		n := newNetwork("a", "b", "c")
+		n.run(ctx)
+		w := window()
+		var wg sync.WaitGroup
+		for range 100 {
+			wg.Go(func() {
+				if err := n.ledgers["a"].Record(ctx, "rope", one); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		wg.Wait()
+		if n.copies != 2 {
+			t.Errorf("%d copies for one group to two peers", n.copies)
+		}
+		n.set(n.down, "b", true)
+		if err := n.ledgers["a"].Record(ctx, "rope", one); err != nil {
+			t.Errorf("one peer left: %v", err)
+		}
+		n.set(n.down, "c", true)
+		time.Sleep(time.Minute)
+		if err := n.ledgers["a"].Record(ctx, "rope", one); !errors.Is(err, ErrNoCopy) {
+			t.Errorf("no peer left: %v", err)
+		}
+		n.set(n.down, "c", false)
+		time.Sleep(time.Minute)
+		if got := held(n.ledgers["c"], w, "a"); got.Requests != 102 {
+			t.Errorf("copy holds %+v after the peer came back, want 102 requests", got)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against a paused gateway's usage that is lost or counted twice when its window was closed in the meantime.
+func TestPausedGatewayMovesToOpenWindow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		n := newNetwork("a", "b", "c")
+		n.run(ctx)
+		a, w := n.ledgers["a"], window()
+		if err := a.Record(ctx, "rope", one); err != nil {
+			t.Error(err)
+		}
+		n.ledgers["b"].Close(w)
+		n.ledgers["c"].Close(w)
+		if err := a.Record(ctx, "rope", one); err != nil {
+			t.Error(err)
+		}
+		for _, l := range []string{"a", "b", "c"} {
+			sealed, next := held(n.ledgers[l], w, "a"), held(n.ledgers[l], w+world.WindowLength, "a")
+			if sealed != one || next != one {
+				t.Errorf("%s holds %+v in the closed and %+v in the next window, want one request in each", l, sealed, next)
+			}
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against counts that are moved, and so billed twice, although a peer took them and lost its answer.
+func TestUnknownCopyIsNotMoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		n := newNetwork("a", "b", "c")
+		n.run(ctx)
+		a, w := n.ledgers["a"], window()
+		n.ledgers["b"].Close(w)
+		n.set(n.lost, "c", true)
+		if err := a.Record(ctx, "rope", one); !errors.Is(err, ErrNoCopy) {
+			t.Error(err)
+		}
+		n.ledgers["c"].Close(w)
+		n.set(n.lost, "c", false)
+		time.Sleep(10 * time.Second)
+		if sealed, next := held(n.ledgers["c"], w, "a"), held(a, w+world.WindowLength, "a"); sealed != one || next != (world.Usage{}) {
+			t.Errorf("closed window holds %+v, next %+v", sealed, next)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func sealer(n *network, mem *memplatform.Platform, holder string) *Sealer {
+	return &Sealer{Store: mem, VMs: mem, Sink: mem, Collector: n, Holder: holder}
+}
+
+func vms(names ...string) (out []world.VM) {
+	for _, name := range names {
+		out = append(out, world.VM{Name: name, FailureDomain: "d-" + name, State: world.VMLive})
+	}
+	return out
+}
+
+// Guards against a window that is reported with two figures when two sealers race, both believing that they hold
+// authority, and the answers of seal and report are lost.
+func TestSealersRace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		n, mem := newNetwork("a", "b", "c"), memplatform.New()
+		n.run(ctx)
+		mem.SetVMs(vms("a", "b", "c"))
+		w := window()
+		for _, name := range []string{"a", "b"} {
+			if err := n.ledgers[name].Record(ctx, "rope", one); err != nil {
+				t.Error(err)
+			}
+		}
+		figures := make(map[world.Usage]int)
+		mem.OnReport(func(w world.UsageWindow) { figures[w.Teams["rope"]]++ })
+		time.Sleep(time.Until(time.Unix(w+world.WindowLength, 0)))
+		mem.SetFaults(memplatform.Faults{LoseAnswers: 4})
+		var wg sync.WaitGroup
+		for i, holder := range []string{"h1", "h2"} {
+			a := lease.NewAuthority(ctx, uint64(i+1), time.Hour, nil)
+			wg.Go(func() {
+				defer a.End()
+				got, err := sealer(n, mem, holder).Seal(a, w)
+				// Marking the window as reported may fail; the next pass of Run repeats it.
+				if err != nil && !errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrConflict) {
+					t.Errorf("%s: %v", holder, err)
+				}
+				if got.Teams["rope"] != plus(one, one) {
+					t.Errorf("%s: sealed %+v", holder, got)
+				}
+			})
+		}
+		wg.Wait()
+		if len(figures) != 1 || len(mem.Reports()) != 1 {
+			t.Errorf("reported figures %v", figures)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against windows that are sealed without a gateway's usage, that wait for ever for one gateway, or that are sealed
+// while two are missing; and against windows that a successor skips after an outage.
+func TestMissingAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		n, mem := newNetwork("a", "b", "c", "d"), memplatform.New()
+		n.run(ctx)
+		mem.SetVMs(vms("a", "b", "c", "d"))
+		w := window()
+		id := strconv.FormatInt(w, 10)
+		if err := n.ledgers["a"].Record(ctx, "rope", one); err != nil {
+			t.Error(err)
+		}
+		n.set(n.down, "a", true)
+		n.set(n.down, "d", true)
+		time.Sleep(time.Until(time.Unix(w+world.WindowLength, 0)))
+		a := lease.NewAuthority(ctx, 1, 24*time.Hour, nil)
+		done := make(chan struct{})
+		go func() { defer close(done); sealer(n, mem, "h").Run(a) }()
+		time.Sleep(time.Minute)
+		if len(mem.Reports()) != 0 {
+			t.Error("sealed with two answers missing")
+		}
+		mem.SetVMs(vms("a", "b", "c"))
+		time.Sleep(10 * time.Second)
+		if got := mem.Reports()[id]; got.Teams["rope"] != one || !slices.Equal(got.Missing, []string{"a"}) {
+			t.Errorf("reported %+v", got)
+		}
+		n.set(n.down, "a", false)
+		mem.SetFaults(memplatform.Faults{Down: true})
+		time.Sleep(3 * world.WindowLength * time.Second)
+		mem.SetFaults(memplatform.Faults{})
+		time.Sleep(time.Minute)
+		if got := mem.Reports(); len(got) != 4 {
+			t.Errorf("%d windows reported after the outage, want 4", len(got))
+		}
+		a.End()
+		<-done
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against two copies in one failure domain, which a single failure would take together.
+func TestChoosePeers(t *testing.T) {
+	list := []world.VM{{Name: "a", FailureDomain: "x"}, {Name: "b", FailureDomain: "x"}, {Name: "c", FailureDomain: "y"},
+		{Name: "d", FailureDomain: "y"}, {Name: "e", FailureDomain: "z"}}
+	for i := range list {
+		list[i].State = world.VMLive
+	}
+	for _, self := range list {
+		got := ChoosePeers(self, list)
+		if len(got) != 2 || got[0].FailureDomain == got[1].FailureDomain || got[0].FailureDomain == self.FailureDomain || got[1].FailureDomain == self.FailureDomain {
+			t.Errorf("peers of %s are %v", self.Name, got)
+		}
+	}
+}
