config: platform source, relay, subscriber and supply; membership: members, neighbours, watchers

- Holder compares each event with the object's own version, keeps the revision of deletions and never puts an older version of an object in force.
A digest over object versions travels with each relay message and finds changes that were missed at an equal revision.
- Source lists, watches from the smallest list revision and compares at least one kind a second; old lists are refused, missed events applied, compaction lists again.
Subscriber leaves silent, failed and stale parents.
Supply switches a controller between both, and watches itself when it reaches no watcher.
- Ruled out: a revision per kind in the protocol (one number must order everything); a fixed list period (700 KB of teams every 5 s breaks the 6 KB/s budget); successors per failure domain on a hash ring (in-degree unbounded).

--- /dev/null
+++ b/internal/config/holder.go
@@ -0,0 +1,170 @@
+package config
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/go-faster/errors"
+
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+// ErrStale is returned for a list or snapshot that is older than what is in force.
+var ErrStale = errors.New("config: older than the configuration in force; read again")
+
+// Change describes one change of a holder's snapshot to a relay.
+type Change struct {
+	Snapshot *Snapshot
+	// Events are the events that took effect. Full is true when a whole list replaced the configuration instead.
+	Events []world.Event
+	Full   bool
+	// Late is true when an event is not newer than the revision before the change: a watch had missed it.
+	Late bool
+}
+
+// Holder keeps the configuration in force. No object in force is ever replaced by an older version of itself, and the
+// revision never falls. Its methods may be called concurrently; Current never blocks.
+type Holder struct {
+	mu       sync.Mutex
+	current  atomic.Pointer[Snapshot]
+	notify   []func(*Snapshot)
+	onChange []func(Change)
+}
+
+// NewHolder returns a holder with an empty snapshot of revision 0.
+func NewHolder() *Holder {
+	h := &Holder{}
+	h.current.Store(emptySnapshot())
+	return h
+}
+
+// Current returns the snapshot in force.
+func (h *Holder) Current() *Snapshot { return h.current.Load() }
+
+// OnChange registers a function that is called, in revision order, after each change. Register before use. The function
+// must not call the holder's Apply, Replace or Hold.
+func (h *Holder) OnChange(f func(*Snapshot)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.notify = append(h.notify, f)
+}
+
+// onDelta registers a function that gets each change with its events.
+func (h *Holder) onDelta(f func(Change)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.onChange = append(h.onChange, f)
+}
+
+// Replace puts a full list in force. It returns ErrStale, and changes nothing, when revision is smaller than the one
+// in force. Where the list has an older version of an object than the one in force, the one in force stays: the list's
+// sender has missed a change.
+func (h *Holder) Replace(objects []world.Object, revision uint64) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	old := h.current.Load()
+	if revision < old.revision {
+		return ErrStale
+	}
+	next := emptySnapshot()
+	next.revision = revision
+	listed := make(map[objectKey]bool, len(objects))
+	for _, o := range objects {
+		k := objectKey{o.Kind, o.Name}
+		listed[k] = true
+		if deleted := old.deleted[k]; deleted >= o.Version && deleted > 0 {
+			continue
+		}
+		if held, ok := old.objects[k]; ok && held.Version > o.Version {
+			o = held
+		}
+		next.put(o, old)
+	}
+	next.keepNewer(old, listed)
+	next.indexOpenRoutes()
+	h.publish(next, Change{Snapshot: next, Full: true})
+	return nil
+}
+
+// keepNewer carries over what the list can't know: objects in force that are newer than the list, deletions of objects
+// that are not in force, and versions that can't be parsed of objects whose sender passes only the good one.
+func (s *Snapshot) keepNewer(old *Snapshot, listed map[objectKey]bool) {
+	for k, o := range old.objects {
+		if !listed[k] && o.Version > s.revision {
+			s.put(o, old)
+			continue
+		}
+		if !listed[k] {
+			s.deleted[k] = s.revision
+		}
+	}
+	for k, r := range old.deleted {
+		if _, ok := s.objects[k]; !ok {
+			s.deleted[k] = max(s.deleted[k], r)
+		}
+	}
+	for k, b := range old.bad {
+		if listed[k] && b.version > s.seen(k) {
+			s.bad[k] = b
+		}
+	}
+}
+
+// Apply puts changes in force. An event that is not newer than the object that it changes is skipped.
+func (h *Holder) Apply(events []world.Event) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	old := h.current.Load()
+	c := Change{}
+	revision := old.revision
+	for _, e := range events {
+		revision = max(revision, e.Revision)
+		k := objectKey{e.Object.Kind, e.Object.Name}
+		if e.Type != world.EventBookmark && e.Revision > old.seen(k) {
+			c.Events = append(c.Events, e)
+			c.Late = c.Late || e.Revision <= old.revision
+		}
+	}
+	if revision == old.revision && len(c.Events) == 0 {
+		return
+	}
+	c.Snapshot = old.with(c.Events, revision)
+	h.publish(c.Snapshot, c)
+}
+
+// with returns a snapshot with the events applied. A snapshot that only moves its revision shares its maps with s.
+func (s *Snapshot) with(events []world.Event, revision uint64) *Snapshot {
+	if len(events) == 0 {
+		next := *s
+		next.revision = revision
+		return &next
+	}
+	next := s.clone()
+	next.revision = revision
+	for _, e := range events {
+		k := objectKey{e.Object.Kind, e.Object.Name}
+		if e.Revision <= next.seen(k) {
+			continue
+		}
+		if e.Type == world.EventDelete {
+			next.remove(k, e.Revision)
+			continue
+		}
+		next.put(e.Object, s)
+	}
+	if slices.ContainsFunc(events, func(e world.Event) bool { return e.Object.Kind == world.KindTemplate }) {
+		next.indexOpenRoutes()
+	}
+	return next
+}
+
+func (h *Holder) publish(s *Snapshot, c Change) {
+	h.current.Store(s)
+	for _, f := range h.onChange {
+		f(c)
+	}
+	for _, f := range h.notify {
+		f(s)
+	}
+}
--- a/internal/config/keyindex.go
+++ b/internal/config/keyindex.go
@@ -1,7 +1,9 @@
 package config
 
 import (
+	"fmt"
 	"maps"
+	"strings"
 
 	"crocusglade.example/crocusglade/internal/world"
 )
@@ -21,7 +23,34 @@
 	return &keyIndex{shards: maps.Clone(x.shards), order: x.order}
 }
 
+// KeyShard returns the name of the keyset object that holds a key's hash, or "" when hash is not hexadecimal.
+func KeyShard(hash string) string {
+	if len(hash) < 2 {
+		return ""
+	}
+	// The low nibble of the first byte is the second hexadecimal digit, and there are 16 shards.
+	digit := strings.IndexByte(hexDigits, hash[1])
+	if digit < 0 || strings.IndexByte(hexDigits, hash[0]) < 0 {
+		return ""
+	}
+	return shardNames[digit]
+}
+
+const hexDigits = "0123456789abcdef"
+
+// shardNames are the names of the keyset objects.
+var shardNames = func() (names [world.KeySetShards]string) {
+	for i := range names {
+		names[i] = fmt.Sprintf("%02d", i)
+	}
+	return names
+}()
+
+// get looks in the shard that the hash belongs to first; a record in another shard is found too.
 func (x *keyIndex) get(hash string) (world.KeyRecord, bool) {
+	if k, ok := x.shards[KeyShard(hash)][hash]; ok {
+		return k, true
+	}
 	for _, shard := range x.order {
 		if k, ok := x.shards[shard][hash]; ok {
 			return k, true
--- /dev/null
+++ b/internal/config/relay.go
@@ -0,0 +1,207 @@
+package config
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"crocusglade.example/crocusglade/internal/peer/peerpb"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+const (
+	// historyEvents bounds the changes that a relay keeps for subscribers that come back. 410 changes a day are
+	// expected, so this covers more than a day.
+	historyEvents = 512
+	// historyBytes bounds the data of these changes; a node may use 128 MB in all.
+	historyBytes = 4 << 20
+	// freshnessPeriod is the period of a relay's messages when nothing changes.
+	freshnessPeriod = time.Second
+)
+
+// Relay serves a process's configuration to others. It implements peerpb.ConfigServer.
+type Relay struct {
+	peerpb.UnimplementedConfigServer
+	freshness *Freshness
+
+	mu       sync.Mutex
+	snapshot *Snapshot
+	// history holds the last changes; history[i] has the sequence number first+i.
+	history []change
+	first   uint64
+	bytes   int
+	// floor is the smallest revision from which history holds every later change.
+	floor   uint64
+	changed chan struct{}
+}
+
+type change struct {
+	revision uint64
+	events   []world.Event
+	bytes    int
+}
+
+// NewRelay returns a relay of a holder's configuration. Create it before the holder is used.
+func NewRelay(holder *Holder, freshness *Freshness) *Relay {
+	r := &Relay{freshness: freshness, changed: make(chan struct{})}
+	r.reset(holder.Current())
+	holder.onDelta(r.record)
+	return r
+}
+
+// reset forgets the history: a whole list came, so the changes that led to it are not known. The caller holds the lock.
+func (r *Relay) reset(s *Snapshot) {
+	r.snapshot = s
+	r.first += uint64(len(r.history)) + 1
+	r.history, r.bytes = nil, 0
+	r.floor = s.revision
+	for _, o := range s.objects {
+		r.floor = max(r.floor, o.Version)
+	}
+}
+
+// record appends a change. It runs under the holder's lock, so changes come in order.
+func (r *Relay) record(c Change) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	defer r.wake()
+	if c.Full {
+		r.reset(c.Snapshot)
+		return
+	}
+	r.snapshot = c.Snapshot
+	if len(c.Events) == 0 {
+		return
+	}
+	entry := change{revision: c.Snapshot.revision, events: c.Events}
+	for _, e := range c.Events {
+		entry.bytes += len(e.Object.Data)
+	}
+	r.history = append(r.history, entry)
+	r.bytes += entry.bytes
+	for len(r.history) > historyEvents || r.bytes > historyBytes {
+		r.floor = max(r.floor, r.history[0].revision)
+		r.bytes -= r.history[0].bytes
+		r.history = r.history[1:]
+		r.first++
+	}
+	if c.Late {
+		// A subscriber that comes back with this revision may have missed the same event.
+		r.floor = max(r.floor, c.Snapshot.revision+1)
+	}
+}
+
+func (r *Relay) wake() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// position is what one subscriber has been sent.
+type position struct {
+	// next is the sequence number of the next change; 0 before the first message.
+	next uint64
+	from uint64
+}
+
+// update returns what a subscriber still lacks, and a channel that is closed at the next change.
+func (r *Relay) update(p *position) (*peerpb.ConfigUpdate, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	u := &peerpb.ConfigUpdate{Revision: r.snapshot.revision, AgeMs: r.freshness.AgeMS(), Digest: r.snapshot.digest}
+	start, known := r.find(p)
+	p.next = r.first + uint64(len(r.history))
+	if !known {
+		u.Full = true
+		for _, o := range r.snapshot.objects {
+			u.Objects = append(u.Objects, objectMessage(o, false))
+		}
+		return u, r.changed
+	}
+	for _, c := range r.history[start:] {
+		for _, e := range c.events {
+			o := e.Object
+			o.Version = e.Revision
+			u.Objects = append(u.Objects, objectMessage(o, e.Type == world.EventDelete))
+		}
+	}
+	return u, r.changed
+}
+
+// find returns the index of the first change that a subscriber lacks, or false when it needs a full snapshot. A relay
+// without configuration has nothing to send, and a subscriber that is ahead of the relay keeps what it has.
+func (r *Relay) find(p *position) (int, bool) {
+	if p.next > 0 {
+		return int(max(p.next, r.first) - r.first), p.next >= r.first
+	}
+	if r.snapshot.revision == 0 {
+		return 0, true
+	}
+	if p.from < r.floor {
+		return 0, false
+	}
+	for i, c := range r.history {
+		if c.revision > p.from {
+			return i, true
+		}
+	}
+	return len(r.history), true
+}
+
+// Subscribe implements peerpb.ConfigServer.
+func (r *Relay) Subscribe(req *peerpb.ConfigRequest, stream grpc.ServerStreamingServer[peerpb.ConfigUpdate]) error {
+	p := position{from: req.FromRevision}
+	ticker := time.NewTicker(freshnessPeriod)
+	defer ticker.Stop()
+	for {
+		u, changed := r.update(&p)
+		if err := stream.Send(u); err != nil {
+			return err
+		}
+		select {
+		case <-stream.Context().Done():
+			return context.Cause(stream.Context())
+		case <-changed:
+		case <-ticker.C:
+		}
+	}
+}
+
+// FullUpdate returns a whole snapshot as a message.
+func FullUpdate(s *Snapshot, ageMS int64) *peerpb.ConfigUpdate {
+	u := &peerpb.ConfigUpdate{Full: true, Revision: s.revision, AgeMs: ageMS, Digest: s.digest}
+	for _, o := range s.objects {
+		u.Objects = append(u.Objects, objectMessage(o, false))
+	}
+	return u
+}
+
+func objectMessage(o world.Object, deleted bool) *peerpb.ConfigObject {
+	return &peerpb.ConfigObject{Kind: o.Kind, Name: o.Name, Version: o.Version, Data: o.Data, Deleted: deleted}
+}
+
+// ApplyUpdate puts a relay's message in force. It returns ErrStale for a full snapshot that is older than what is in force.
+func ApplyUpdate(h *Holder, u *peerpb.ConfigUpdate) error {
+	if u.Full {
+		objects := make([]world.Object, 0, len(u.Objects))
+		for _, o := range u.Objects {
+			objects = append(objects, objectOf(o))
+		}
+		return h.Replace(objects, u.Revision)
+	}
+	events := make([]world.Event, 0, len(u.Objects)+1)
+	for _, o := range u.Objects {
+		e := world.Event{Revision: o.Version, Type: world.EventPut, Object: objectOf(o)}
+		if o.Deleted {
+			e.Type = world.EventDelete
+		}
+		events = append(events, e)
+	}
+	h.Apply(append(events, world.Event{Revision: u.Revision, Type: world.EventBookmark}))
+	return nil
+}
+
+func objectOf(o *peerpb.ConfigObject) world.Object {
+	return world.Object{Kind: o.Kind, Name: o.Name, Version: o.Version, Data: o.Data}
+}
--- /dev/null
+++ b/internal/config/relay_test.go
@@ -0,0 +1,213 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/test/bufconn"
+	"pgregory.net/rapid"
+
+	"crocusglade.example/crocusglade/internal/peer/peerpb"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+// node is a relay that can be frozen, on an in-memory listener.
+type node struct {
+	peerpb.UnimplementedConfigServer
+	holder    *Holder
+	freshness Freshness
+	relay     *Relay
+	frozen    bool
+	calls     int
+	listener  *bufconn.Listener
+}
+
+func (n *node) Subscribe(r *peerpb.ConfigRequest, s grpc.ServerStreamingServer[peerpb.ConfigUpdate]) error {
+	n.calls++
+	if n.frozen {
+		<-s.Context().Done()
+		return nil
+	}
+	return n.relay.Subscribe(r, s)
+}
+
+func startNode(t *testing.T) *node {
+	n := &node{holder: NewHolder(), listener: bufconn.Listen(1 << 16)}
+	n.relay = NewRelay(n.holder, &n.freshness)
+	server := grpc.NewServer()
+	peerpb.RegisterConfigServer(server, n)
+	done := make(chan struct{})
+	go func() { defer close(done); _ = server.Serve(n.listener) }()
+	t.Cleanup(func() { server.Stop(); <-done })
+	return n
+}
+
+// subscribe runs a subscriber whose parents are the given nodes, in order.
+func subscribe(t *testing.T, h *Holder, nodes ...*node) (*Subscriber, *Freshness) {
+	var vms []world.VM
+	byName := map[string]*node{}
+	for i, n := range nodes {
+		name := fmt.Sprintf("vm-%d", i)
+		vms = append(vms, world.VM{Name: name})
+		byName[name] = n
+	}
+	f := &Freshness{}
+	s := NewSubscriber("self", "gateway", h, f, func() []world.VM { return vms }, func(vm world.VM) (grpc.ClientConnInterface, func(), error) {
+		conn, err := grpc.NewClient("passthrough:///"+vm.Name, grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) {
+				return byName[vm.Name].listener.DialContext(ctx)
+			}))
+		return conn, func() { conn.Close() }, err
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = s.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return s, f
+}
+
+func teamEvent(name string, version uint64, weight float64) world.Event {
+	data, _ := json.Marshal(world.Team{Name: name, Weight: weight})
+	return world.Event{Revision: version, Type: world.EventPut,
+		Object: world.Object{Kind: world.KindTeam, Name: name, Version: version, Data: data}}
+}
+
+// Guards against changes that don't reach a subscriber, and a subscriber that stays with a frozen relay.
+func TestSubscriberLeavesFrozenRelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := startNode(t), startNode(t)
+		for _, n := range []*node{a, b} {
+			n.holder.Apply([]world.Event{teamEvent("x", 5, 1)})
+			n.freshness.Confirm(0)
+		}
+		a.frozen = true
+		h := NewHolder()
+		s, f := subscribe(t, h, a, b)
+		time.Sleep(5 * time.Second)
+		if h.Current().Team("x") == nil || s.Parent() != "vm-1" || !s.Synced() {
+			t.Fatalf("parent %q, revision %d", s.Parent(), h.Current().Revision())
+		}
+		b.holder.Apply([]world.Event{teamEvent("x", 6, 2)})
+		synctest.Wait()
+		if h.Current().Team("x").Weight != 2 {
+			t.Fatal("a change did not arrive")
+		}
+		// An age passed on is at most one message period younger than the truth.
+		if d := b.freshness.AgeMS() - f.AgeMS(); d < -1 || d > 1000 {
+			t.Fatalf("ages differ by %d ms", d)
+		}
+	})
+}
+
+// Guards against a stale relay that takes a change back, and a subscriber that stays with one while another is supplied.
+func TestSubscriberMovesFromStaleParentAndNeverReverts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stale, good := startNode(t), startNode(t)
+		stale.holder.Apply([]world.Event{teamEvent("x", 5, 1)})
+		stale.freshness.Confirm(60_000)
+		good.holder.Apply([]world.Event{teamEvent("x", 9, 2)})
+		h := NewHolder()
+		h.Apply([]world.Event{teamEvent("x", 7, 1.5)})
+		s, _ := subscribe(t, h, stale, good)
+		time.Sleep(5 * time.Second)
+		if w := h.Current().Team("x").Weight; w != 1.5 || s.Synced() {
+			t.Fatalf("weight %v, synced %v under a stale parent", w, s.Synced())
+		}
+		for range 20 {
+			good.freshness.Confirm(0)
+			time.Sleep(time.Second)
+		}
+		if h.Current().Team("x").Weight != 2 || s.Parent() != "vm-1" || !s.Synced() {
+			t.Fatalf("parent %q, synced %v", s.Parent(), s.Synced())
+		}
+	})
+}
+
+// Guards against a subscriber that misses a late repair because its revision is already the relay's.
+func TestDigestFindsMissedChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := startNode(t)
+		n.holder.Apply([]world.Event{teamEvent("lost", 3, 1), teamEvent("x", 4, 1)})
+		h := NewHolder()
+		h.Apply([]world.Event{teamEvent("x", 4, 1)})
+		subscribe(t, h, n)
+		time.Sleep(2 * time.Second)
+		if h.Current().Team("lost") == nil {
+			t.Fatal("the missed change was not found")
+		}
+	})
+}
+
+// Guards against a relay that answers from a history that no longer reaches back far enough, or sends snapshots without need.
+func TestRelaySendsFullOnlyWhenNeeded(t *testing.T) {
+	h := NewHolder()
+	r := NewRelay(h, &Freshness{})
+	if err := h.Replace([]world.Object{teamEvent("x", 12, 1).Object}, 10); err != nil {
+		t.Fatal(err)
+	}
+	for i := range uint64(historyEvents + 10) {
+		h.Apply([]world.Event{teamEvent("x", 20+i, 1)})
+	}
+	last := h.Current().Revision()
+	for from, full := range map[uint64]bool{0: true, 10: true, 20: true, 29: false, last - 1: false, last: false} {
+		if u, _ := r.update(&position{from: from}); u.Full != full {
+			t.Errorf("from %d: full is %v", from, u.Full)
+		}
+	}
+	p := position{from: last - 1}
+	if u, _ := r.update(&p); len(u.Objects) != 1 {
+		t.Errorf("%d objects instead of one delta", len(u.Objects))
+	}
+	if u, _ := r.update(&p); len(u.Objects) != 0 {
+		t.Error("a delta was sent twice")
+	}
+}
+
+// Guards against any order of duplicated, late or old messages that takes an object or the revision back.
+func TestHolderNeverReverts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := NewHolder()
+		names := []string{"a", "b", "c"}
+		newest := map[string]uint64{}
+		var revision uint64
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			v := rapid.Uint64Range(1, 30).Draw(t, "version")
+			e := teamEvent(rapid.SampledFrom(names).Draw(t, "name"), v, 1)
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				e.Type = world.EventDelete
+				h.Apply([]world.Event{e})
+			case 1:
+				_ = h.Replace([]world.Object{e.Object}, v)
+			default:
+				h.Apply([]world.Event{e})
+			}
+			s := h.Current()
+			if s.Revision() < revision {
+				t.Fatalf("revision fell from %d to %d", revision, s.Revision())
+			}
+			revision = s.Revision()
+			for _, n := range names {
+				seen := s.seen(objectKey{world.KindTeam, n})
+				if seen < newest[n] {
+					t.Fatalf("%s fell from version %d to %d", n, newest[n], seen)
+				}
+				newest[n] = seen
+			}
+			check := emptySnapshot()
+			for _, o := range s.Objects() {
+				check.digest ^= hashVersion(o)
+			}
+			if check.digest != s.Digest() {
+				t.Fatal("the digest does not follow the objects")
+			}
+		}
+	})
+}
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -7,17 +7,14 @@
 	"encoding/json"
 	"maps"
 	"slices"
-	"sync"
-	"sync/atomic"
+	"strconv"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
 	"crocusglade.example/crocusglade/internal/world"
 )
 
-// ErrStale is returned for a list or snapshot that is older than what is in force.
-var ErrStale = errors.New("config: older than the configuration in force; read again")
-
 type objectKey struct{ kind, name string }
 
 // Snapshot is one immutable version of the configuration.
@@ -32,7 +29,16 @@
 	orders    map[string]*world.PoolOrders
 	keys      *keyIndex
 	openRoute map[string]bool
-	bad       map[objectKey]string
+	bad       map[objectKey]badObject
+	// deleted holds the revision of each object's deletion, so that an older version can't bring it back.
+	deleted map[objectKey]uint64
+	digest  uint64
+}
+
+// badObject is an object whose last version can't be parsed.
+type badObject struct {
+	version uint64
+	reason  string
 }
 
 // Revision returns the platform revision that the snapshot reflects; 0 for an empty one.
@@ -85,8 +91,8 @@
 // Bad returns kind/name of objects whose last version can't be parsed, with the reason. Their last good version is in force.
 func (s *Snapshot) Bad() map[string]string {
 	out := make(map[string]string, len(s.bad))
-	for k, reason := range s.bad {
-		out[k.kind+"/"+k.name] = reason
+	for k, b := range s.bad {
+		out[k.kind+"/"+k.name] = b.reason
 	}
 	return out
 }
@@ -100,21 +106,6 @@
 	return objects
 }
 
-// Holder keeps the configuration in force and applies only larger revisions. Its methods may be called
-// concurrently; Current never blocks.
-type Holder struct {
-	mu      sync.Mutex
-	current atomic.Pointer[Snapshot]
-	notify  []func(*Snapshot)
-}
-
-// NewHolder returns a holder with an empty snapshot of revision 0.
-func NewHolder() *Holder {
-	h := &Holder{}
-	h.current.Store(emptySnapshot())
-	return h
-}
-
 func emptySnapshot() *Snapshot {
 	return &Snapshot{
 		objects:   map[objectKey]world.Object{},
@@ -126,68 +117,8 @@
 		orders:    map[string]*world.PoolOrders{},
 		keys:      newKeyIndex(),
 		openRoute: map[string]bool{},
-		bad:       map[objectKey]string{},
-	}
-}
-
-// Current returns the snapshot in force.
-func (h *Holder) Current() *Snapshot { return h.current.Load() }
-
-// OnChange registers a function that is called, in revision order, after each change. Register before use.
-func (h *Holder) OnChange(f func(*Snapshot)) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.notify = append(h.notify, f)
-}
-
-// Replace puts a full list in force. It returns ErrStale, and changes nothing, when revision is smaller than the one
-// in force.
-func (h *Holder) Replace(objects []world.Object, revision uint64) error {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	old := h.current.Load()
-	if revision < old.revision {
-		return ErrStale
-	}
-	next := emptySnapshot()
-	next.revision = revision
-	for _, o := range objects {
-		next.put(o, old)
-	}
-	next.indexOpenRoutes()
-	h.publish(next)
-	return nil
-}
-
-// Apply puts changes in force. Events that are not newer than the object they change are skipped.
-func (h *Holder) Apply(events []world.Event) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	old := h.current.Load()
-	next := old.clone()
-	for _, e := range events {
-		if e.Revision <= old.revision {
-			continue
-		}
-		next.revision = max(next.revision, e.Revision)
-		switch e.Type {
-		case world.EventPut:
-			next.put(e.Object, old)
-		case world.EventDelete:
-			next.remove(objectKey{e.Object.Kind, e.Object.Name})
-		}
-	}
-	if next.revision == old.revision {
-		return
-	}
-	next.indexOpenRoutes()
-	h.publish(next)
-}
-
-func (h *Holder) publish(s *Snapshot) {
-	h.current.Store(s)
-	for _, f := range h.notify {
-		f(s)
+		bad:       map[objectKey]badObject{},
+		deleted:   map[objectKey]uint64{},
 	}
 }
 
@@ -204,25 +135,56 @@
 		keys:      s.keys.clone(),
 		openRoute: s.openRoute,
 		bad:       maps.Clone(s.bad),
+		deleted:   maps.Clone(s.deleted),
+		digest:    s.digest,
 	}
 }
 
 // put stores an object. When its data can't be parsed, the last good version from old stays in force.
 func (s *Snapshot) put(o world.Object, old *Snapshot) {
 	k := objectKey{o.Kind, o.Name}
+	delete(s.deleted, k)
 	if err := s.parse(k, o.Data); err != nil {
-		s.bad[k] = err.Error()
+		s.bad[k] = badObject{o.Version, err.Error()}
 		if good, ok := old.objects[k]; ok {
-			s.objects[k] = good
+			s.store(k, good)
 			// The good version was parsed before, so parsing it again can't fail.
 			_ = s.parse(k, good.Data)
 		}
 		return
 	}
 	delete(s.bad, k)
+	s.store(k, o)
+}
+
+// store keeps the object's data and updates the digest.
+func (s *Snapshot) store(k objectKey, o world.Object) {
+	if held, ok := s.objects[k]; ok {
+		s.digest ^= hashVersion(held)
+	}
 	s.objects[k] = o
+	s.digest ^= hashVersion(o)
+}
+
+// hashVersion hashes identity and version of an object. The digest of a snapshot is the XOR over its objects.
+func hashVersion(o world.Object) uint64 {
+	return xxhash.Sum64String(o.Kind + "/" + o.Name + "@" + strconv.FormatUint(o.Version, 10))
+}
+
+// seen returns the newest version of an object that the snapshot has seen, deletions and unparsable versions included.
+func (s *Snapshot) seen(k objectKey) uint64 {
+	return max(s.objects[k].Version, s.bad[k].version, s.deleted[k])
 }
 
+// ObjectVersion returns the version in force of an object, or 0 when it does not exist. A version that can't be parsed
+// is not in force.
+func (s *Snapshot) ObjectVersion(kind, name string) uint64 {
+	return s.objects[objectKey{kind, name}].Version
+}
+
+// Digest identifies the versions of all objects in force. Two snapshots with the same objects have the same digest.
+func (s *Snapshot) Digest() uint64 { return s.digest }
+
 func (s *Snapshot) parse(k objectKey, data []byte) error {
 	switch k.kind {
 	case world.KindTemplate:
@@ -256,7 +218,11 @@
 	return nil
 }
 
-func (s *Snapshot) remove(k objectKey) {
+func (s *Snapshot) remove(k objectKey, revision uint64) {
+	if held, ok := s.objects[k]; ok {
+		s.digest ^= hashVersion(held)
+	}
+	s.deleted[k] = revision
 	delete(s.objects, k)
 	delete(s.bad, k)
 	switch k.kind {
--- /dev/null
+++ b/internal/config/source_test.go
@@ -0,0 +1,223 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"crocusglade.example/crocusglade/internal/platform"
+	"crocusglade.example/crocusglade/internal/platform/memplatform"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+func put(t testing.TB, p *memplatform.Platform, kind, name string, v any) uint64 {
+	t.Helper()
+	data, err := json.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	version := uint64(0)
+	if o, err := p.Get(context.Background(), kind, name); err == nil {
+		version = o.Version
+	}
+	version, err = p.Put(context.Background(), kind, name, data, version)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return version
+}
+
+// runSource runs a source over a store in a bubble and ends it with the test.
+func runSource(t *testing.T, store platform.Store, h *Holder) (*Source, *Freshness) {
+	f := &Freshness{}
+	s := NewSource(store, h, f)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = s.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	synctest.Wait()
+	return s, f
+}
+
+// Guards against a withdrawal that is lost for good because the watch dropped its event.
+func TestSourceRepairsDroppedEvents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, h := memplatform.New(), NewHolder()
+		put(t, p, world.KindTeam, "a", world.Team{Name: "a", Weight: 1})
+		put(t, p, world.KindTeam, "gone", world.Team{Name: "gone"})
+		s, f := runSource(t, p, h)
+		p.UpdateFaults(func(f *memplatform.Faults) { f.DropEvents = 2 })
+		put(t, p, world.KindTeam, "a", world.Team{Name: "a", Weight: 2})
+		o, _ := p.Get(context.Background(), world.KindTeam, "gone")
+		if err := p.Delete(context.Background(), world.KindTeam, "gone", o.Version); err != nil {
+			t.Fatal(err)
+		}
+		put(t, p, world.KindTeam, "later", world.Team{Name: "later"})
+		time.Sleep(11 * time.Second)
+		now := h.Current()
+		if now.Team("a").Weight != 2 || now.Team("gone") != nil || now.Team("later") == nil {
+			t.Fatalf("dropped events not repaired: %+v", s.Counts())
+		}
+		if s.Counts().Repaired != 2 || f.AgeMS() > 2000 {
+			t.Fatalf("counts %+v, age %d ms", s.Counts(), f.AgeMS())
+		}
+	})
+}
+
+// Guards against a lagging replica that takes an accepted change back, at a restart of the watch and in periodic lists.
+func TestSourceRefusesOldLists(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, h := memplatform.New(), NewHolder()
+		put(t, p, world.KindTeam, "a", world.Team{Name: "a", Weight: 1})
+		put(t, p, world.KindTeam, "a", world.Team{Name: "a", Weight: 2})
+		_, _ = runSource(t, p, h)
+		p.UpdateFaults(func(f *memplatform.Faults) { f.OldLists = 1 })
+		time.Sleep(20 * time.Second)
+		second, _ := runSource(t, p, h)
+		time.Sleep(20 * time.Second)
+		if w := h.Current().Team("a").Weight; w != 2 {
+			t.Fatalf("an old list took weight 2 back to %v", w)
+		}
+		if second.Watching() || second.Counts().OldLists == 0 {
+			t.Fatalf("the old list was not refused: %+v", second.Counts())
+		}
+	})
+}
+
+// Guards against an outage that empties the configuration or whose end goes unnoticed, and against reads that hammer the platform.
+func TestSourceSurvivesOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, h := memplatform.New(), NewHolder()
+		put(t, p, world.KindTeam, "a", world.Team{Name: "a"})
+		s, f := runSource(t, p, h)
+		p.SetFaults(memplatform.Faults{Down: true})
+		before := p.Calls()
+		time.Sleep(60 * time.Second)
+		calls := p.Calls()
+		if h.Current().Team("a") == nil || s.Watching() || f.AgeMS() < 50_000 {
+			t.Fatalf("in an outage: watching %v, age %d", s.Watching(), f.AgeMS())
+		}
+		if n := calls.List + calls.Watch - before.List - before.Watch; n > 60 {
+			t.Fatalf("%d calls in 60 s of outage", n)
+		}
+		p.SetFaults(memplatform.Faults{})
+		put(t, p, world.KindTeam, "b", world.Team{Name: "b"})
+		time.Sleep(2 * maxBackoff)
+		if h.Current().Team("b") == nil || !s.Watching() {
+			t.Fatal("the source did not recover")
+		}
+	})
+}
+
+// scriptedStore answers lists with given revisions and the first watches with an error.
+type scriptedStore struct {
+	platform.Store
+	revisions map[string]uint64
+	compacted int
+	from      []uint64
+}
+
+func (s *scriptedStore) List(ctx context.Context, kind string) ([]world.Object, uint64, error) {
+	items, revision, err := s.Store.List(ctx, kind)
+	if r, ok := s.revisions[kind]; ok {
+		return items, r, err
+	}
+	return items, revision, err
+}
+
+func (s *scriptedStore) Watch(ctx context.Context, kinds []string, from uint64, f func(world.Event) error) error {
+	s.from = append(s.from, from)
+	if s.compacted > 0 {
+		s.compacted--
+		return platform.ErrCompacted
+	}
+	return s.Store.Watch(ctx, kinds, from, f)
+}
+
+// Guards against a change between two lists being lost, or an object deleted between them coming back.
+func TestSourceListsAreNotAtomic(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, h := memplatform.New(), NewHolder()
+		put(t, p, world.KindTemplate, "t", world.Template{Name: "t"})
+		v := put(t, p, world.KindTeam, "short-lived", world.Team{})
+		if err := p.Delete(context.Background(), world.KindTeam, "short-lived", v); err != nil {
+			t.Fatal(err)
+		}
+		returned := false
+		h.OnChange(func(s *Snapshot) { returned = returned || s.Team("short-lived") != nil })
+		store := &scriptedStore{Store: p, revisions: map[string]uint64{world.KindTemplate: 1}}
+		runSource(t, store, h)
+		if store.from[0] != 1 {
+			t.Fatalf("watch starts at %d, not at the smallest list revision", store.from[0])
+		}
+		if returned {
+			t.Fatal("a deleted team came back from the watch")
+		}
+	})
+}
+
+// Guards against a source that repeats a compacted watch for ever.
+func TestSourceListsAgainAfterCompaction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, h := memplatform.New(), NewHolder()
+		put(t, p, world.KindTeam, "a", world.Team{Name: "a"})
+		s, _ := runSource(t, &scriptedStore{Store: p, compacted: 1}, h)
+		put(t, p, world.KindTeam, "b", world.Team{Name: "b"})
+		time.Sleep(2 * maxBackoff)
+		if h.Current().Team("b") == nil || s.Counts().Compacted != 1 {
+			t.Fatalf("counts %+v", s.Counts())
+		}
+	})
+}
+
+// Guards against an unreadable object that takes its last good version out of force or can never be replaced.
+func TestUnparsableObjectKeepsLastGoodVersion(t *testing.T) {
+	h := NewHolder()
+	team := func(version uint64, data string) world.Event {
+		return world.Event{Revision: version, Type: world.EventPut,
+			Object: world.Object{Kind: world.KindTeam, Name: "a", Version: version, Data: json.RawMessage(data)}}
+	}
+	h.Apply([]world.Event{team(1, `{"name":"a","weight":1}`)})
+	h.Apply([]world.Event{team(2, `{"name":`)})
+	s := h.Current()
+	if s.Team("a") == nil || s.Team("a").Weight != 1 || len(s.Bad()) != 1 || s.ObjectVersion(world.KindTeam, "a") != 1 {
+		t.Fatalf("bad %v, team %v", s.Bad(), s.Team("a"))
+	}
+	h.Apply([]world.Event{team(3, `{"name":"a","weight":3}`)})
+	if s = h.Current(); s.Team("a").Weight != 3 || len(s.Bad()) != 0 {
+		t.Fatalf("bad %v, team %v", s.Bad(), s.Team("a"))
+	}
+}
+
+// BenchmarkApply measures one change to a snapshot of 3,500 teams with one key each; the bound is 5 ms.
+func BenchmarkApply(b *testing.B) {
+	h := NewHolder()
+	sets := make([]world.KeySet, world.KeySetShards)
+	var objects []world.Object
+	for i := range 3500 {
+		name := fmt.Sprintf("team-%d", i)
+		data, _ := json.Marshal(world.Team{Name: name, Template: "t", Weight: 1})
+		objects = append(objects, world.Object{Kind: world.KindTeam, Name: name, Version: 1, Data: data})
+		set := &sets[i%len(sets)]
+		set.Keys = append(set.Keys, world.KeyRecord{ID: name, Hash: fmt.Sprintf("%064x", i), Team: name})
+	}
+	for i, set := range sets {
+		data, _ := json.Marshal(set)
+		objects = append(objects, world.Object{Kind: world.KindKeySet, Name: shardNames[i], Version: 1, Data: data})
+	}
+	if err := h.Replace(objects, 1); err != nil {
+		b.Fatal(err)
+	}
+	for name, o := range map[string]world.Object{"team": objects[0], "keyset": objects[3500]} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				o.Version = h.Current().Revision() + 1
+				h.Apply([]world.Event{{Revision: o.Version, Type: world.EventPut, Object: o}})
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/config/supply.go
@@ -0,0 +1,84 @@
+package config
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"crocusglade.example/crocusglade/internal/membership"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+const (
+	// supplyPeriod is the period at which a controller checks whether it should watch.
+	supplyPeriod = time.Second
+	// orphanAfter is how long a controller without any parent waits before it watches the platform itself.
+	orphanAfter = 8 * time.Second
+)
+
+// Supply keeps a controller's holder current: from the platform when the controller is one of its failure domain's watchers or
+// reaches none of them, and otherwise from a watcher. Only one of the two runs at a time.
+type Supply struct {
+	self       string
+	vms        func() []world.VM
+	source     *Source
+	subscriber *Subscriber
+	watching   atomic.Bool
+}
+
+// NewSupply returns the supply of the controller on VM self. vms returns the list of VMs.
+func NewSupply(self string, vms func() []world.VM, source *Source, subscriber *Subscriber) *Supply {
+	return &Supply{self: self, vms: vms, source: source, subscriber: subscriber}
+}
+
+// Watching tells whether the controller watches the platform with success.
+func (s *Supply) Watching() bool { return s.watching.Load() && s.source.Watching() }
+
+// Run supplies the holder until ctx ends.
+func (s *Supply) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if s.chosen() {
+			s.watching.Store(true)
+			s.runUntil(ctx, s.source.Run, func() bool { return !s.chosen() })
+			s.watching.Store(false)
+			continue
+		}
+		orphaned := s.runUntil(ctx, s.subscriber.Run, func() bool { return s.chosen() || s.orphaned() })
+		if orphaned && !s.chosen() {
+			s.watching.Store(true)
+			s.runUntil(ctx, s.source.Run, after(time.Minute))
+			s.watching.Store(false)
+		}
+	}
+	return ctx.Err()
+}
+
+func (s *Supply) chosen() bool { return slices.Contains(membership.Watchers(s.vms()), s.self) }
+
+func (s *Supply) orphaned() bool { return s.subscriber.HeardAgo() > orphanAfter }
+
+func after(d time.Duration) func() bool {
+	end := time.Now().Add(d)
+	return func() bool { return time.Now().After(end) }
+}
+
+// runUntil runs one supplier until stop says so, and returns true, or until ctx ends, and returns false.
+func (s *Supply) runUntil(ctx context.Context, run func(context.Context) error, stop func() bool) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = run(ctx)
+	}()
+	for sleep(ctx, supplyPeriod) {
+		if stop() {
+			cancel()
+			<-done
+			return true
+		}
+	}
+	cancel()
+	<-done
+	return false
+}
--- /dev/null
+++ b/internal/config/supply_test.go
@@ -0,0 +1,48 @@
+package config
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"crocusglade.example/crocusglade/internal/membership"
+	"crocusglade.example/crocusglade/internal/platform"
+	"crocusglade.example/crocusglade/internal/platform/memplatform"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+// Guards against a controller that stays without configuration because all watchers that a lagging list names are gone, and one
+// that keeps watching when others do.
+func TestSupplyChoosesSource(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, h, f := memplatform.New(), NewHolder(), &Freshness{}
+		put(t, p, world.KindTeam, "a", world.Team{Name: "a"})
+		vms := []world.VM{{Name: "v1", State: world.VMLive}, {Name: "v2", State: world.VMLive}, {Name: "v3", State: world.VMLive}}
+		watchers := membership.Watchers(vms)
+		self := ""
+		for _, vm := range vms {
+			if vm.Name != watchers[0] && vm.Name != watchers[1] {
+				self = vm.Name
+			}
+		}
+		refuse := func(world.VM) (grpc.ClientConnInterface, func(), error) { return nil, nil, platform.ErrUnavailable }
+		list := func() []world.VM { return vms }
+		s := NewSupply(self, list, NewSource(p, h, f),
+			NewSubscriber(self, "controller", h, f, func() []world.VM { return membership.Parents(self, list()) }, refuse))
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); _ = s.Run(ctx) }()
+		defer func() { cancel(); <-done }()
+		time.Sleep(orphanAfter / 2)
+		if h.Current().Revision() != 0 || s.Watching() {
+			t.Fatal("a controller that is no watcher watches at once")
+		}
+		time.Sleep(orphanAfter)
+		if h.Current().Team("a") == nil || !s.Watching() {
+			t.Fatal("a controller without parents does not watch")
+		}
+	})
+}
