Choose endpoints by predicted first-token time

Cause: the skeleton chose the least outstanding endpoint and knew neither late reports, memory nor prefix caches. Change: Choose samples four eligible endpoints and up to four holders of the prompt's prefix and takes the lowest predicted first-token time plus a price for a busy decode slot. The queue of an endpoint is its last report, drained at its prefill rate, plus own and neighbours' sends since. Slots and KV pieces are limits. A prefix hit is a probability that falls with gaps in the cache events and with time since the last event while work was sent. Endpoints are ejected after three failures in a row. Large pools are routed over a rendezvous subset that widens under pressure. CacheGap, Subset and Capacity are new. Ruled out: comparing all endpoints, because late reports then send all gateways to the same one, and a walk over all prefix blocks, because it alone takes longer than the bound for one choice.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -46,7 +46,12 @@
 	// CachedTokens is the expected number of prompt tokens in the endpoint's prefix cache.
 	CachedTokens int
 
-	done func(Outcome)
+	balancer *Balancer
+	state    *endpointState
+	work     work
+	probe    bool
+	prefill  bool // true until the first token or the end
+	finished bool
 }
 
 // Outcome is what became of a request at an endpoint.
@@ -58,12 +63,16 @@
 	OutputTokens int
 }
 
-// Done reports that the request has left the endpoint.
+// Done reports that the request has left the endpoint. Later calls have no effect.
 func (c *Choice) Done(o Outcome) {
-	if c.done != nil {
-		c.done(o)
+	if c.balancer != nil {
+		c.balancer.finish(c, o)
 	}
 }
 
 // FirstToken reports that prefill has ended and decoding has begun.
-func (c *Choice) FirstToken() {}
+func (c *Choice) FirstToken() {
+	if c.balancer != nil {
+		c.balancer.firstToken(c)
+	}
+}
--- /dev/null
+++ b/internal/balancer/balancer_test.go
@@ -0,0 +1,202 @@
+package balancer
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"crocusglade.example/crocusglade/internal/apierror"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+func engine(name string, load world.Load) Endpoint {
+	load.Slots, load.KVFree, load.KVTotal = 16, 2000, 2000
+	load.PrefillRate, load.DecodeRate = 10000, 800
+	return Endpoint{Endpoint: world.Endpoint{Name: name, State: world.EndpointReady}, Load: load, ReportedAt: time.Now()}
+}
+
+func withEngines(b *Balancer, n int) {
+	for i := range n {
+		b.Update("p", engine(fmt.Sprintf("e%03d", i), world.Load{}))
+	}
+}
+
+func choose(t *testing.T, b *Balancer, r Request) *Choice {
+	t.Helper()
+	r.Pool = "p"
+	c, err := b.Choose(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// Guards against herding: with one late report for all, no endpoint may get far more than its part of a burst.
+func TestStaleReportDoesNotHerd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New(1)
+		for i := range 10 {
+			b.Update("p", engine(fmt.Sprint("e", i), world.Load{QueuedPrefillTokens: min(i, 1) * 2000}))
+		}
+		got := make(map[string]int)
+		for range 100 {
+			got[choose(t, b, Request{PromptTokens: 1000}).Endpoint.Name]++
+		}
+		for name, n := range got {
+			if n > 16 {
+				t.Errorf("%s got %d of 100 requests", name, n)
+			}
+		}
+	})
+}
+
+// Guards against ignoring neighbours: work that they announce must count until a newer report holds it.
+func TestQueueFollowsSendsAndReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New(1)
+		b.Update("p", engine("a", world.Load{QueuedPrefillTokens: 1000}))
+		b.PeerSend("vm2", "a", 4000, 2)
+		if got := choose(t, b, Request{PromptTokens: 1000}).Predicted; got != 600*time.Millisecond {
+			t.Errorf("predicted %v, want 600ms", got)
+		}
+		time.Sleep(100 * time.Millisecond)
+		b.Update("p", engine("a", world.Load{QueuedPrefillTokens: 3000}))
+		if got := choose(t, b, Request{}).Predicted; got != 300*time.Millisecond {
+			t.Errorf("predicted %v after the report, want 300ms", got)
+		}
+	})
+}
+
+// Guards against requests that an endpoint can't hold, and against the wrong refusal.
+func TestLimitsAndRefusals(t *testing.T) {
+	b := New(1)
+	var e *apierror.Error
+	if _, err := b.Choose(Request{Pool: "p"}); !errors.As(err, &e) || e.Kind != apierror.Unavailable || e.Run != apierror.NotRun {
+		t.Errorf("empty pool: %v", err)
+	}
+	withEngines(b, 1)
+	if _, err := b.Choose(Request{Pool: "p", PromptTokens: 40000}); !errors.As(err, &e) || e.Kind != apierror.Overloaded {
+		t.Errorf("prompt above KV memory: %v", err)
+	}
+	var last *Choice
+	for range 16 {
+		last = choose(t, b, Request{})
+	}
+	if _, err := b.Choose(Request{Pool: "p"}); !errors.As(err, &e) || e.Kind != apierror.Overloaded {
+		t.Errorf("no free slot: %v", err)
+	}
+	last.Done(Outcome{})
+	last.Done(Outcome{})
+	choose(t, b, Request{})
+	if _, err := b.Choose(Request{Pool: "p"}); err == nil {
+		t.Error("a second Done freed a second slot")
+	}
+}
+
+// Guards against trusting cache events that are late or incomplete as if they were exact.
+func TestHitProbabilityDecays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New(1)
+		withEngines(b, 20)
+		prefix := make([]uint64, 100)
+		for i := range prefix {
+			prefix[i] = uint64(i) + 1
+		}
+		b.CacheEvent("e007", prefix, nil, false)
+		r := Request{PromptTokens: 1600, Prefix: prefix}
+		c := choose(t, b, r)
+		if c.Endpoint.Name != "e007" || c.CachedTokens != 1600 {
+			t.Fatalf("chose %s with %d cached tokens", c.Endpoint.Name, c.CachedTokens)
+		}
+		c.Done(Outcome{})
+		time.Sleep(5 * time.Second)
+		late := choose(t, b, r)
+		if late.CachedTokens >= 1600 || late.CachedTokens < 800 {
+			t.Errorf("%d cached tokens 5 s after the last event", late.CachedTokens)
+		}
+		b.CacheEvent("e007", nil, nil, false)
+		b.CacheGap("e007")
+		if gap := choose(t, b, r); gap.CachedTokens != 960 {
+			t.Errorf("%d cached tokens after a gap, want 960", gap.CachedTokens)
+		}
+		b.CacheEvent("e007", nil, prefix, false)
+		if len(b.index) != 0 {
+			t.Errorf("%d blocks left in the index", len(b.index))
+		}
+	})
+}
+
+// Guards against a failing endpoint that keeps its load, and against an ejection that empties the pool.
+func TestEjection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New(1)
+		withEngines(b, 4)
+		for range 60 {
+			choose(t, b, Request{}).Done(Outcome{Failed: true})
+		}
+		now := time.Now()
+		var ejected []*endpointState
+		for _, s := range b.endpoints {
+			if s.ejection.excluded(now) {
+				ejected = append(ejected, s)
+			}
+		}
+		if len(ejected) != 2 {
+			t.Fatalf("%d of 4 ejected, want 2", len(ejected))
+		}
+		time.Sleep(time.Second)
+		e := &ejected[0].ejection
+		if e.excluded(time.Now()) || !e.beginProbe(time.Now()) || !e.excluded(time.Now()) {
+			t.Fatal("the trial must be exactly one request")
+		}
+		e.record(ejected[0].pool, true, true, time.Now())
+		if e.length != 2*time.Second {
+			t.Errorf("second ejection lasts %v, want 2s", e.length)
+		}
+	})
+}
+
+// Guards against all gateways routing over all 600 endpoints, and against a subset that stays small under pressure.
+func TestSubsetIsBoundedAndWidens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, other := New(1), New(2)
+		withEngines(b, 600)
+		withEngines(other, 600)
+		first := b.Subset("p")
+		if len(first) != baseSubset || fmt.Sprint(first) == fmt.Sprint(other.Subset("p")) {
+			t.Fatalf("subset of %d, or equal for two gateways", len(first))
+		}
+		for range 400 {
+			choose(t, b, Request{PromptTokens: 3000})
+		}
+		if wide := b.Subset("p"); len(wide) <= baseSubset {
+			t.Errorf("subset stayed at %d under pressure", len(wide))
+		}
+	})
+}
+
+func benchmarkChoose(b *testing.B, n int) {
+	lb := New(1)
+	withEngines(lb, n)
+	prefix := make([]uint64, 256)
+	for i := range prefix {
+		prefix[i] = uint64(i) + 1
+	}
+	for i := 0; i < n; i += 3 {
+		lb.CacheEvent(fmt.Sprintf("e%03d", i), prefix[:128+i%128], nil, false)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		c, err := lb.Choose(Request{Pool: "p", PromptTokens: 4096, OutputTokens: 200, Prefix: prefix})
+		if err != nil {
+			b.Fatal(err)
+		}
+		c.FirstToken()
+		c.Done(Outcome{FirstToken: time.Millisecond})
+	}
+}
+
+func BenchmarkChoose40(b *testing.B)  { benchmarkChoose(b, 40) }
+func BenchmarkChoose600(b *testing.B) { benchmarkChoose(b, 600) }
--- /dev/null
+++ b/internal/balancer/subset.go
@@ -0,0 +1,136 @@
+package balancer
+
+import (
+	"slices"
+	"time"
+
+	"crocusglade.example/crocusglade/internal/membership"
+)
+
+const (
+	// baseSubset is the number of endpoints over which a gateway routes a pool. Each endpoint costs load reports, and a
+	// node may spend 6 KB/s; pools of today's size are used whole.
+	baseSubset = 40
+	// pressureWait is the predicted first-token time in seconds from which a choice counts as made under pressure: half of
+	// the default first-token target.
+	pressureWait = 0.17
+	// pressureChoices is the number of choices in a row under pressure that widen the subset.
+	pressureChoices = 8
+	// calmTime without pressure halves a widened subset.
+	calmTime = 30 * time.Second
+)
+
+// pool is a pool's endpoints in this gateway's rendezvous order; a subset is a prefix of it.
+type pool struct {
+	name      string
+	members   []*endpointState
+	unordered bool
+	widened   int // the base subset is doubled so many times
+	pressed   int // choices in a row under pressure
+	changedAt time.Time
+}
+
+// order sorts the members by their rendezvous weight for this gateway. Gateways with different keys get different subsets,
+// and a change of one member moves only that member.
+func (p *pool) order(key string) {
+	if !p.unordered {
+		return
+	}
+	names := make([]string, len(p.members))
+	byName := make(map[string]*endpointState, len(p.members))
+	for i, m := range p.members {
+		names[i] = m.Name
+		byName[m.Name] = m
+	}
+	for i, name := range membership.Rendezvous(key+p.name, names, len(names)) {
+		p.members[i] = byName[name]
+	}
+	p.unordered = false
+}
+
+func (p *pool) subsetSize() int { return min(len(p.members), baseSubset<<p.widened) }
+
+// widen doubles the subset. It returns false when the subset is the whole pool.
+func (p *pool) widen(now time.Time) bool {
+	if p.subsetSize() == len(p.members) {
+		return false
+	}
+	p.widened++
+	p.pressed = 0
+	p.changedAt = now
+	return true
+}
+
+// narrow halves a widened subset after a calm time.
+func (p *pool) narrow(now time.Time) {
+	if p.widened > 0 && now.Sub(p.changedAt) > calmTime {
+		p.widened--
+		p.changedAt = now
+	}
+}
+
+// notePressure widens the subset after several choices in a row with a long predicted wait.
+func (p *pool) notePressure(now time.Time, wait float64) {
+	if wait < pressureWait {
+		p.pressed = 0
+		return
+	}
+	p.changedAt = now
+	if p.pressed++; p.pressed >= pressureChoices {
+		p.widen(now)
+		p.pressed = 0
+	}
+}
+
+// Subset returns the names of the endpoints over which this gateway routes a pool at present.
+func (b *Balancer) Subset(poolName string) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.pools[poolName]
+	if p == nil {
+		return nil
+	}
+	p.order(b.subsetKey)
+	names := make([]string, 0, p.subsetSize())
+	for _, m := range p.members[:p.subsetSize()] {
+		names = append(names, m.Name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Capacity returns what this gateway may use of a pool that it shares with the given number of gateways, itself included,
+// for admission: the requests that it may have in progress and the pool's prefill rate in tokens a second divided among the
+// gateways. Free slots are divided evenly on top of the requests in progress, so capacity follows demand between gateways.
+func (b *Balancer) Capacity(poolName string, gateways int) (concurrent int, tokensPerSecond float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.pools[poolName]
+	if p == nil {
+		return 0, 0
+	}
+	gateways = max(1, gateways)
+	now := time.Now()
+	own, free, open := 0, 0, false
+	for _, s := range p.members {
+		own += s.ownRequests
+		if !s.serves(&Request{}) || s.ejection.excluded(now) {
+			continue
+		}
+		open = true
+		tokensPerSecond += s.prefillRate()
+		slots := s.Load.Slots
+		if slots == 0 {
+			slots = defaultSlots
+		}
+		free += max(0, slots-s.running())
+	}
+	if !open {
+		return 0, 0
+	}
+	share := (free + gateways - 1) / gateways
+	return max(1, own+share), tokensPerSecond / float64(gateways)
+}
+
+// defaultSlots is assumed for an endpoint that does not report its slots.
+const defaultSlots = 32
