--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -1,38 +1,111 @@
 // Package retry bounds retries and stops requests that crash endpoints.
 package retry
 
-import "time"
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// minSaved bounds the retries that a quiet pool can save up. Saved retries hit a failing pool at once, on top of the
+	// running budget, so they stay few.
+	minSaved = 2
+	// savedSeconds of first tries may be saved up by a busy pool, so that one crash with many requests can be retried.
+	savedSeconds = 1
+	// budgetIdle is the time without a first try after which a pool's saved retries expire.
+	budgetIdle = time.Minute
+	// maxPools bounds the pools that a budget remembers.
+	maxPools = 1024
+)
 
 // Budget bounds retries to a share of first tries, per pool. Its methods may be called concurrently.
-type Budget struct{}
+type Budget struct {
+	mu    sync.Mutex
+	ratio float64
+	pools map[string]*poolBudget
+}
+
+// poolBudget is the budget of one pool.
+type poolBudget struct {
+	credit float64 // retries that may be made
+	last   time.Time
+	second time.Time // start of the second being counted
+	count  int       // first tries in this second
+	before int       // first tries in the second before
+}
 
-// NewBudget returns a budget that allows ratio retries for each first try.
-func NewBudget(ratio float64) *Budget { return &Budget{} }
+// NewBudget returns a budget that allows ratio retries for each first try. It starts empty, so the retries of a pool never
+// exceed the ratio of its first tries.
+func NewBudget(ratio float64) *Budget {
+	return &Budget{ratio: ratio, pools: make(map[string]*poolBudget)}
+}
 
 // First records a first try at a pool.
-func (b *Budget) First(pool string) {}
+func (b *Budget) First(pool string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	p := b.pools[pool]
+	if p == nil {
+		b.makeRoom(now)
+		p = &poolBudget{second: now}
+		b.pools[pool] = p
+	}
+	p.expire(now)
+	p.countFirst(now)
+	p.last = now
+	p.credit = min(p.credit+b.ratio, p.limit(b.ratio))
+}
 
 // Allow takes one retry from the pool's budget and tells whether there was one.
-func (b *Budget) Allow(pool string) bool { return true }
-
-// Quarantine remembers requests that crashed endpoints. Its methods may be called concurrently.
-type Quarantine struct{}
-
-// NewQuarantine returns an empty quarantine whose entries last for ttl.
-func NewQuarantine(ttl time.Duration) *Quarantine { return &Quarantine{} }
-
-// Fingerprint returns the hash of team, route and body that identifies a request.
-func Fingerprint(team, route string, body []byte) uint64 { return 0 }
+func (b *Budget) Allow(pool string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.pools[pool]
+	if p == nil {
+		return false
+	}
+	p.expire(time.Now())
+	// Sums of the ratio fall short of a whole number by rounding.
+	const rounding = 1e-9
+	if p.credit < 1-rounding {
+		return false
+	}
+	p.credit = max(0, p.credit-1)
+	return true
+}
 
-// Blocked tells whether a request may not run.
-func (q *Quarantine) Blocked(fingerprint uint64) bool { return false }
+func (p *poolBudget) expire(now time.Time) {
+	if now.Sub(p.last) > budgetIdle {
+		p.credit = 0
+	}
+}
 
-// Death records that an endpoint died while it ran a request and tells whether the request is quarantined now.
-// Deaths that neighbours report are recorded by the same call.
-func (q *Quarantine) Death(fingerprint uint64, endpoint string) bool { return false }
+func (p *poolBudget) countFirst(now time.Time) {
+	if elapsed := now.Sub(p.second); elapsed >= time.Second {
+		p.before = p.count
+		if elapsed >= 2*time.Second {
+			p.before = 0
+		}
+		p.count, p.second = 0, now
+	}
+	p.count++
+}
 
-// Add quarantines a request for the given time, as reported by a neighbour.
-func (q *Quarantine) Add(fingerprint uint64, remaining time.Duration) {}
+func (p *poolBudget) limit(ratio float64) float64 {
+	return max(minSaved, ratio*savedSeconds*float64(max(p.before, p.count)))
+}
 
-// Entries returns the quarantined requests with their remaining time.
-func (q *Quarantine) Entries() map[uint64]time.Duration { return nil }
+// makeRoom forgets the pool that was idle longest when there are too many.
+func (b *Budget) makeRoom(now time.Time) {
+	if len(b.pools) < maxPools {
+		return
+	}
+	oldest, at := "", now
+	for name, p := range b.pools {
+		if !p.last.After(at) {
+			oldest, at = name, p.last
+		}
+	}
+	delete(b.pools, oldest)
+}
--- /dev/null
+++ b/internal/retry/retry_test.go
@@ -0,0 +1,120 @@
+package retry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Guards against a retry storm: in any order of tries and pauses, retries never exceed the ratio of first tries.
+func TestBudgetNeverExceedsRatio(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rng := rand.New(rand.NewPCG(1, 2))
+		for range 200 {
+			b := NewBudget(0.1)
+			first, retries := 0, 0
+			for range 300 {
+				switch step := rng.IntN(21); {
+				case step == 0:
+					time.Sleep(20 * time.Second)
+				case step < 14:
+					first++
+					b.First("p")
+				case b.Allow("p"):
+					retries++
+				}
+				if float64(retries) > 0.1*float64(first)+1e-9 {
+					t.Fatalf("%d retries of %d first tries", retries, first)
+				}
+			}
+		}
+	})
+}
+
+// Guards against a store of saved retries that hits a pool at once when it begins to fail.
+func TestBudgetSavesLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := NewBudget(0.1)
+		for range 1000 {
+			b.First("p")
+			time.Sleep(100 * time.Millisecond)
+		}
+		retries := 0
+		for b.Allow("p") {
+			retries++
+		}
+		if retries != minSaved {
+			t.Errorf("%d retries at once after a long calm, want %d", retries, minSaved)
+		}
+	})
+}
+
+// Guards against a crashing request that goes on to kill endpoints, and against one death that is counted twice.
+func TestQuarantineAfterTwoDeaths(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := NewQuarantine(time.Minute)
+		fp := Fingerprint("team", "route", []byte("body"))
+		q.Death(fp, "e1")
+		if q.Death(fp, "e1") || q.Blocked(fp) || !q.Suspect(fp) {
+			t.Fatal("one death, reported twice, must leave the request a suspect only")
+		}
+		if !q.Death(fp, "e2") || !q.Blocked(fp) {
+			t.Fatal("two deaths must quarantine")
+		}
+		if q.Blocked(Fingerprint("other", "route", []byte("body"))) {
+			t.Fatal("another team's request is blocked")
+		}
+		time.Sleep(time.Minute)
+		if q.Blocked(fp) || len(q.Entries()) != 0 {
+			t.Fatal("the entry outlives its time")
+		}
+	})
+}
+
+// Guards against memory that grows with made-up requests, and against losing quarantined ones to suspects.
+func TestQuarantineIsBounded(t *testing.T) {
+	q := NewQuarantine(time.Hour)
+	q.Add(1, time.Minute)
+	for i := range uint64(maxEntries + 10) {
+		q.Death(i+2, fmt.Sprint(i))
+	}
+	if len(q.records) != maxEntries || !q.Blocked(1) {
+		t.Errorf("%d records, first blocked: %v", len(q.records), q.Blocked(1))
+	}
+}
+
+// Guards against repeating work that must not repeat, and against retries that come too late or too often.
+func TestRecordLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, q := NewBudget(1), NewQuarantine(time.Minute)
+		for range 100 {
+			b.First("p")
+		}
+		if NewRecord(1, false, time.Time{}).MayRetry("p", b, q) {
+			t.Error("non-idempotent request may be retried")
+		}
+		r := NewRecord(2, true, time.Time{})
+		r.Failed("e1", false, q)
+		r.Failed("e2", false, q)
+		if !r.MayRetry("p", b, q) {
+			t.Error("second retry refused")
+		}
+		r.Failed("e3", false, q)
+		if r.MayRetry("p", b, q) {
+			t.Error("fourth try allowed")
+		}
+		late := NewRecord(3, true, time.Now().Add(time.Second))
+		time.Sleep(time.Second)
+		if late.MayRetry("p", b, q) {
+			t.Error("retry after the deadline")
+		}
+		killer := NewRecord(4, true, time.Time{})
+		killer.Failed("e1", true, q)
+		killer.Failed("e2", true, q)
+		if killer.MayRetry("p", b, q) || len(killer.Died()) != 2 {
+			t.Error("request that killed two endpoints may be retried")
+		}
+	})
+}
