Add crocusgladectl

Cause: operators had no command line for the administration API.

Change: internal/ctl has one file per command on google/subcommands: apply, get, diff, validate, key, status, endpoints, drain, requests, usage and report. Files are YAML with several documents; every mistake is listed with its line, from unknown fields (found on the node tree, since yaml.v3 checks them only when decoding from bytes) to the checks of internal/world. A pool's own field kind is written pool_kind, because documents use kind for the object's kind. A pool file without a drained list keeps the server's list, so that applying a file does not undo a drain. yaml.v3 reports parser errors one line too early; the line is corrected. Exit codes are documented in the help.

Result: datadriven tests against an httptest fake cover output, line numbers and exit codes 0 to 5; go test -race passes.

--- a/cmd/crocusgladectl/main.go
+++ b/cmd/crocusgladectl/main.go
@@ -1,6 +1,19 @@
-// Command crocusgladectl is described in docs/design.md, section 2.
+// Command crocusgladectl is the command line of the administration API.
 package main
 
 import "C"
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+
+	"crocusglade.example/crocusglade/internal/ctl"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	code := ctl.Run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/internal/ctl/api.go
@@ -0,0 +1,137 @@
+package ctl
+
+import (
+	"encoding/json"
+
+	"crocusglade.example/crocusglade/internal/burn"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+// The types below are the bodies of the administration API (docs/design.md, section 5.5).
+
+// Confirmation tells how far a change got.
+type Confirmation struct {
+	Version uint64 `json:"version,omitempty"`
+	// Confirmed is the number of live gateways that confirmed the revision, Gateways the number of live gateways.
+	Confirmed int `json:"confirmed"`
+	Gateways  int `json:"gateways"`
+}
+
+// check returns errUnconfirmed unless a majority of the live gateways confirmed.
+func (c Confirmation) check() error {
+	if c.Gateways > 0 && 2*c.Confirmed <= c.Gateways {
+		return errUnconfirmed
+	}
+	return nil
+}
+
+// ConfigList is a list of configuration objects.
+type ConfigList struct {
+	Revision uint64         `json:"revision"`
+	Items    []world.Object `json:"items"`
+}
+
+// KeyInfo describes an issued key without its value. Times are Unix milliseconds.
+type KeyInfo struct {
+	ID          string `json:"id"`
+	Team        string `json:"team"`
+	IssuedAt    int64  `json:"issued_at"`
+	WithdrawnAt int64  `json:"withdrawn_at,omitempty"`
+}
+
+// KeyList is a list of keys.
+type KeyList struct {
+	Keys []KeyInfo `json:"keys"`
+}
+
+// IssuedKey is a new key. The server shows it once.
+type IssuedKey struct {
+	ID   string `json:"id"`
+	Team string `json:"team"`
+	Key  string `json:"key"`
+}
+
+// WithdrawnKey is the answer to a withdrawal.
+type WithdrawnKey struct {
+	ID string `json:"id"`
+	Confirmation
+}
+
+// GatewayStatus is the state of a VM's gateway.
+type GatewayStatus struct {
+	Reachable     bool   `json:"reachable"`
+	Ready         bool   `json:"ready"`
+	Draining      bool   `json:"draining"`
+	Revision      uint64 `json:"revision"`
+	PlatformAgeMS int64  `json:"platform_age_ms"`
+	InFlight      int    `json:"in_flight"`
+}
+
+// ControllerStatus is the state of a VM's controller.
+type ControllerStatus struct {
+	Reachable bool `json:"reachable"`
+}
+
+// VMStatus is the state of a VM.
+type VMStatus struct {
+	Name          string           `json:"name"`
+	FailureDomain string           `json:"failure_domain"`
+	State         world.VMState    `json:"state"`
+	Gateway       GatewayStatus    `json:"gateway"`
+	Controller    ControllerStatus `json:"controller"`
+}
+
+// DutyStatus names the holder of a duty.
+type DutyStatus struct {
+	Name   string `json:"name"`
+	Holder string `json:"holder"`
+	Fence  uint64 `json:"fence"`
+}
+
+// Status is the state of the deployment.
+type Status struct {
+	Revision      uint64       `json:"revision"`
+	PlatformAgeMS int64        `json:"platform_age_ms"`
+	VMs           []VMStatus   `json:"vms"`
+	Duties        []DutyStatus `json:"duties"`
+	// BadObjects maps objects whose last version could not be parsed to the problem.
+	BadObjects map[string]string `json:"bad_objects,omitempty"`
+}
+
+// EndpointStatus is the state of an endpoint.
+type EndpointStatus struct {
+	Name          string              `json:"name"`
+	Pool          string              `json:"pool"`
+	Addr          string              `json:"addr"`
+	FailureDomain string              `json:"failure_domain"`
+	Class         world.EndpointClass `json:"class"`
+	State         world.EndpointState `json:"state"`
+	NoNewWork     bool                `json:"no_new_work"`
+	Reason        string              `json:"reason,omitempty"`
+	Load          *world.Load         `json:"load,omitempty"`
+}
+
+// EndpointList is a list of endpoints.
+type EndpointList struct {
+	Endpoints []EndpointStatus `json:"endpoints"`
+}
+
+// ClaimList is a list of unresolved claims.
+type ClaimList struct {
+	Claims []world.Claim `json:"claims"`
+}
+
+// WindowList is a list of sealed usage windows.
+type WindowList struct {
+	Windows []world.UsageWindow `json:"windows"`
+}
+
+// BurnSeries is the answer of GET /admin/v1/burn.
+type BurnSeries struct {
+	Series []burn.Series `json:"series"`
+}
+
+// errorBody is the shape of error answers.
+type errorBody struct {
+	Error json.RawMessage `json:"error"`
+}
