Run the duties of a controller under leases

Cause: planners only propose; something has to carry an action out without cutting a request and without two duties acting on one endpoint. Change: internal/duty holds the lease of a pool's orders, drains, waits until gateways know and the last stream ends, sends the order, and returns the endpoint. A successor finishes what it finds half done. Ruled out: several actions in a pool at once, since each is a planned loss.

--- /dev/null
+++ b/internal/duty/deployment.go
@@ -0,0 +1,38 @@
+package duty
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"crocusglade.example/crocusglade/internal/claim"
+	"crocusglade.example/crocusglade/internal/lease"
+	"crocusglade.example/crocusglade/internal/platform"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+// reconcileEvery is the period of passes over open claims. A pass reads all claim shards.
+const reconcileEvery = 10 * time.Second
+
+// RunUsage competes for the lease "usage" and runs the sealer in each term until ctx ends.
+func RunUsage(ctx context.Context, store platform.Store, holder string, seal func(*lease.Authority)) error {
+	k := lease.NewKeeper(lease.Options{Store: store, Name: string(world.DutyUsage), Holder: holder})
+	return k.Run(ctx, seal)
+}
+
+// RunClaims competes for the lease "claims" and reconciles open claims in each term until ctx ends.
+func RunClaims(ctx context.Context, store platform.Store, holder string, r claim.Reconciler, log zerolog.Logger) error {
+	k := lease.NewKeeper(lease.Options{Store: store, Name: string(world.DutyClaims), Holder: holder})
+	return k.Run(ctx, func(a *lease.Authority) {
+		r.Authority = a.Valid
+		for a.Valid() {
+			report, err := r.Pass(a.Context())
+			if err == nil && report.Done+report.NotRun > 0 {
+				log.Info().Int("done", report.Done).Int("not_run", report.NotRun).Int("unresolved", report.Unresolved).
+					Msg("claims reconciled")
+			}
+			pause(a.Context(), reconcileEvery)
+		}
+	})
+}
--- /dev/null
+++ b/internal/duty/orders.go
@@ -0,0 +1,191 @@
+package duty
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+
+	"crocusglade.example/crocusglade/internal/lease"
+	"crocusglade.example/crocusglade/internal/order"
+	"crocusglade.example/crocusglade/internal/platform"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+const (
+	// planEvery is the planning period.
+	planEvery = time.Second
+	// settle is the time after a drain in which every gateway learns of it. Configuration is in force at connected
+	// gateways within 2 s; cut-off gateways stop admitting within 5 s.
+	settle = 5 * time.Second
+	// pollEvery is how often an action looks at the endpoint's reports.
+	pollEvery = 250 * time.Millisecond
+	// emptyWithin bounds the wait for the last stream of a drained endpoint; the action is given up after it.
+	emptyWithin = 30 * time.Minute
+	// changeWithin bounds the wait for an engine to carry out a change.
+	changeWithin = 5 * time.Minute
+	// cleanWithin bounds the wait for the provider to clean an endpoint.
+	cleanWithin = 2 * time.Hour
+)
+
+// ErrNotDrained: the endpoint still had work when the wait for its last stream ended.
+var ErrNotDrained = errors.New("duty: endpoint did not become empty in time; its drain was withdrawn, try again at lower load")
+
+// Orders holds the lease "<pool>.orders" and carries out what the planners propose.
+type Orders struct {
+	Pool   string
+	Holder string
+	Store  platform.Store
+	// NewProvider returns a provider client whose connections are bound to the authority.
+	NewProvider func(a *lease.Authority) platform.Provider
+	Fleet       Fleet
+	// NewPlanners returns fresh planners for a term, in order of precedence.
+	NewPlanners func() []Planner
+	Log         zerolog.Logger
+	// Control, when not nil, replaces the control protocol of engines; for tests.
+	Control order.Control
+	// Settle replaces the wait for gateways to learn of a drain; for tests. Zero means 5 s.
+	Settle time.Duration
+
+	mu     sync.Mutex
+	losing string
+}
+
+// Run competes for the lease until ctx ends.
+func (o *Orders) Run(ctx context.Context) error {
+	k := lease.NewKeeper(lease.Options{Store: o.Store, Name: o.Pool + "." + string(world.DutyOrders), Holder: o.Holder})
+	return k.Run(ctx, o.lead)
+}
+
+// lead runs one term.
+func (o *Orders) lead(a *lease.Authority) {
+	d, err := o.establishLeadership(a)
+	if err != nil {
+		o.Log.Warn().Err(err).Str("pool", o.Pool).Msg("take-over of orders failed")
+		return
+	}
+	var actions sync.WaitGroup
+	defer o.revokeLeadership(&actions)
+	planners := o.NewPlanners()
+	ticker := time.NewTicker(planEvery)
+	defer ticker.Stop()
+	for a.Valid() {
+		o.plan(a, d, planners, &actions)
+		select {
+		case <-a.Context().Done():
+		case <-ticker.C:
+		}
+	}
+}
+
+// establishLeadership takes the pool's orders over and finishes what the predecessor left half done.
+func (o *Orders) establishLeadership(a *lease.Authority) (*order.Dispatcher, error) {
+	d := order.New(order.Options{Pool: o.Pool, Holder: o.Holder, Authority: a, Store: o.Store, Provider: o.NewProvider(a),
+		Endpoint: o.endpoint, Control: o.Control})
+	if err := d.TakeOver(a.Context()); err != nil {
+		return nil, err
+	}
+	o.Log.Info().Str("pool", o.Pool).Uint64("fence", a.Fence()).Msg("orders taken over")
+	return d, nil
+}
+
+// revokeLeadership waits for running actions, which end with the authority's context.
+func (o *Orders) revokeLeadership(actions *sync.WaitGroup) {
+	actions.Wait()
+	o.setLosing("")
+	o.Log.Info().Str("pool", o.Pool).Msg("orders given up")
+}
+
+// plan carries out at most one proposal. Additions run at once; everything that takes an endpoint out of service runs as
+// the pool's only action.
+func (o *Orders) plan(a *lease.Authority, d *order.Dispatcher, planners []Planner, actions *sync.WaitGroup) {
+	pool, ok := o.Fleet.Pool(o.Pool)
+	if !ok || pool.Paused {
+		return
+	}
+	v := o.view(pool, d.State())
+	if v.PlannedLoss == "" && o.startLeftOver(a, d, v, actions) {
+		return
+	}
+	for _, planner := range planners {
+		p, ok := planner.Plan(v)
+		if !ok {
+			continue
+		}
+		if p.Kind == world.OrderAdd {
+			o.finish(p, d.Submit(a.Context(), providerOrder(p)))
+			return
+		}
+		if v.PlannedLoss == "" {
+			o.start(a, d, p, actions)
+			return
+		}
+	}
+}
+
+// view joins reports with what the system itself has ordered.
+func (o *Orders) view(pool world.Pool, s world.PoolOrders) PoolView {
+	v := PoolView{Pool: pool, Endpoints: o.Fleet.Endpoints(o.Pool), PlannedLoss: o.losingNow(), Now: time.Now()}
+	for i := range v.Endpoints {
+		e := &v.Endpoints[i]
+		e.Drained = s.Drained[e.Name]
+		e.OperatorDrained = slices.Contains(pool.Drained, e.Name)
+		e.Abandoned = slices.Contains(s.Abandoned, e.Name)
+		if at := max(s.Cleaned[e.Name], e.LastCleaned); at > 0 {
+			e.Cleaned = time.UnixMilli(at)
+		}
+	}
+	return v
+}
+
+// start runs a proposal as the pool's action.
+func (o *Orders) start(a *lease.Authority, d *order.Dispatcher, p Proposal, actions *sync.WaitGroup) {
+	o.setLosing(p.Endpoint)
+	o.Log.Info().Str("pool", o.Pool).Str("endpoint", p.Endpoint).Str("order", string(p.Kind)).Str("value", p.Value).
+		Str("reason", p.Reason).Msg("action started")
+	actions.Go(func() {
+		defer o.setLosing("")
+		o.finish(p, o.carryOut(a.Context(), d, p))
+	})
+}
+
+func (o *Orders) finish(p Proposal, err error) {
+	line := o.Log.Info()
+	if err != nil {
+		line = o.Log.Warn().Err(err)
+	}
+	line.Str("pool", o.Pool).Str("endpoint", p.Endpoint).Str("order", string(p.Kind)).Msg("action ended")
+}
+
+func (o *Orders) losingNow() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.losing
+}
+
+func (o *Orders) setLosing(endpoint string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.losing = endpoint
+}
+
+func (o *Orders) endpoint(name string) (world.Endpoint, bool) {
+	v, ok := o.viewOf(name)
+	return v.Endpoint, ok
+}
+
+func (o *Orders) viewOf(name string) (EndpointView, bool) {
+	for _, e := range o.Fleet.Endpoints(o.Pool) {
+		if e.Name == name {
+			return e, true
+		}
+	}
+	return EndpointView{}, false
+}
+
+func providerOrder(p Proposal) world.Order {
+	return world.Order{Kind: p.Kind, Endpoint: p.Endpoint, FailureDomain: p.FailureDomain, Class: p.Class, Value: p.Value}
+}
