--- a/internal/endpoint/control.go
+++ b/internal/endpoint/control.go
@@ -45,6 +45,14 @@
 	Instance string `json:"instance"`
 }
 
+// ContentType returns the likely type of the body, since a lookup carries no headers.
+func (l Lookup) ContentType() string {
+	if json.Valid([]byte(l.Body)) {
+		return "application/json"
+	}
+	return "text/plain; charset=utf-8"
+}
+
 // CacheEvent is a change of an engine's prefix cache.
 type CacheEvent struct {
 	Seq     uint64   `json:"seq"`
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -115,7 +115,7 @@
 }
 
 // readBody reads a request's body within the team's limit.
-func (g *Gateway) readBody(c *call, r *http.Request) error {
+func (g *Gateway) readBody(c *call, w http.ResponseWriter, r *http.Request) error {
 	limit := g.opts.MaxBodyBytes
 	if c.limits.MaxBodyBytes > 0 {
 		limit = c.limits.MaxBodyBytes
@@ -124,7 +124,11 @@
 	if r.ContentLength > limit {
 		return tooLarge
 	}
+	// A connection that takes no deadline, as in tests without a network, has no slow sender either.
+	deadline := http.NewResponseController(w)
+	_ = deadline.SetReadDeadline(time.Now().Add(bodyTimeout))
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	_ = deadline.SetReadDeadline(time.Time{})
 	if err != nil {
 		return apierror.New(apierror.InvalidRequest, "send the whole body", "the body ended early")
 	}
--- a/internal/gateway/claimed.go
+++ b/internal/gateway/claimed.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -195,11 +194,7 @@
 	a.fail(outcomeUnknown(c))
 }
 
-// lookedUp returns the answer that a lookup found. The lookup does not carry headers.
+// lookedUp returns the answer that a lookup found.
 func lookedUp(l endpoint.Lookup, id string) *endpoint.ServiceAnswer {
-	contentType := "text/plain; charset=utf-8"
-	if strings.HasPrefix(strings.TrimSpace(l.Body), "{") || strings.HasPrefix(strings.TrimSpace(l.Body), "[") {
-		contentType = jsonType
-	}
-	return &endpoint.ServiceAnswer{Status: l.Status, Header: http.Header{"Content-Type": {contentType}, requestIDHeader: {id}}, Body: []byte(l.Body)}
+	return &endpoint.ServiceAnswer{Status: l.Status, Header: http.Header{"Content-Type": {l.ContentType()}, requestIDHeader: {id}}, Body: []byte(l.Body)}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,6 +38,15 @@
 	DefaultMaxAttempts    = 4
 )
 
+// Limits on callers' connections.
+const (
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 64 << 10
+	// bodyTimeout bounds the time in which a body arrives. Callers at sea have slow links.
+	bodyTimeout = time.Minute
+)
+
 // openTeam is the reserved team of requests on open routes without a key.
 const openTeam = "open"
 
@@ -89,7 +98,8 @@
 	// PoolEndpoints returns the endpoints of a pool, to resume answers of gateways that are gone. Optional; the default
 	// is the list in the pool's configuration.
 	PoolEndpoints func(pool string) []world.Endpoint
-	// OnDeath is called when an endpoint died under a request, so that neighbours learn of it. Optional.
+	// OnDeath is called when an endpoint died under a request, before the request is tried again or answered. It returns
+	// once neighbours have been told, because the caller may send the request again elsewhere at once. Optional.
 	OnDeath func(fingerprint uint64, endpoint string)
 	// Observe is called for each finished request. Optional.
 	Observe func(Observation)
@@ -177,6 +187,12 @@
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) { g.echo.ServeHTTP(w, r) }
 
+// Server returns a server for callers' connections with limits against slow and oversized headers. The time of a body is
+// bounded by the gateway itself, since streams have no bound on their whole time.
+func (g *Gateway) Server() *http.Server {
+	return &http.Server{Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+}
+
 // Name returns VM and incarnation as claims and request ids carry them.
 func (g *Gateway) Name() string { return g.opts.VM + "." + g.opts.Incarnation }
 
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -45,7 +45,7 @@
 		return err
 	}
 	defer g.leave()
-	s, err := g.prepareService(ec.Request())
+	s, err := g.prepareService(ec.Response(), ec.Request())
 	if err != nil {
 		return apierror.From(err, apierror.NotRun)
 	}
@@ -66,7 +66,7 @@
 }
 
 // prepareService authenticates and classifies a call of a plain service.
-func (g *Gateway) prepareService(r *http.Request) (*serviceCall, error) {
+func (g *Gateway) prepareService(w http.ResponseWriter, r *http.Request) (*serviceCall, error) {
 	if err := checkFraming(r); err != nil {
 		return nil, err
 	}
@@ -94,7 +94,7 @@
 	if err := s.classify(r, route); err != nil {
 		return nil, err
 	}
-	if err := g.readBody(c, r); err != nil {
+	if err := g.readBody(c, w, r); err != nil {
 		return nil, err
 	}
 	s.setTarget(r, rest)
