Tell inherited orders by fencing number and answer records on shutdown

Cause: an engine order left by an earlier holder could be sent again as the holder's own when the take-over stopped at a provider order without answer. Change: an intent counts as inherited by its fencing number, not by the call that finds it. Orders to unknown endpoints are refused before an intent is written. A keeper whose lead returns at once waits before the next term, and usage records that wait when copying stops are answered.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -25,6 +25,8 @@
 	retryEvery = 250 * time.Millisecond
 	// clockCheckEvery bounds how long a suspended holder keeps its context after waking up.
 	clockCheckEvery = 250 * time.Millisecond
+	// pollsPerTTL is how often a candidate reads the lease within its lifetime.
+	pollsPerTTL = 10
 	// callTimeout bounds one platform call.
 	callTimeout = 1500 * time.Millisecond
 )
@@ -75,14 +77,11 @@
 // context ends; the next term, or the release, waits for that. Platform errors are retried.
 func (k *Keeper) Run(ctx context.Context, lead func(*Authority)) error {
 	for ctx.Err() == nil {
-		a := k.acquire(ctx)
-		if a == nil {
-			if !sleep(ctx, min(time.Second, k.o.TTL/10)) {
-				break
-			}
-			continue
+		if a := k.acquire(ctx); a != nil {
+			k.hold(a, lead)
 		}
-		k.hold(a, lead)
+		// The wait also follows a term, so that another candidate gets its turn when lead fails at once.
+		sleep(ctx, k.o.TTL/pollsPerTTL)
 	}
 	return ctx.Err()
 }
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -140,12 +140,15 @@
 	defer func() { <-d.sending }()
 	ctx, cancel := d.bound(ctx)
 	defer cancel()
-	if err := d.resolveAll(ctx, false); err != nil {
+	if err := d.resolveAll(ctx); err != nil {
 		return err
 	}
 	if slices.Contains(d.State().Abandoned, o.Endpoint) && o.Kind != world.OrderRemove {
 		return ErrAbandoned
 	}
+	if _, known := d.o.Endpoint(o.Endpoint); !known && !toProvider(o.Kind) {
+		return errors.Wrapf(ErrRefused, "endpoint %q is not known in pool %q", o.Endpoint, d.o.Pool)
+	}
 	return d.dispatch(ctx, o, false)
 }
 
@@ -175,7 +178,7 @@
 	if err := d.rewrite(ctx); err != nil {
 		return err
 	}
-	if err := d.resolveAll(ctx, true); err != nil && !errors.Is(err, ErrUnresolved) {
+	if err := d.resolveAll(ctx); err != nil && !errors.Is(err, ErrUnresolved) {
 		return err
 	}
 	return nil
@@ -199,13 +202,13 @@
 	}
 }
 
-// resolveAll deals with all intents without a final state. inherited says that a predecessor sent them.
-func (d *Dispatcher) resolveAll(ctx context.Context, inherited bool) error {
+// resolveAll deals with all intents without a final state.
+func (d *Dispatcher) resolveAll(ctx context.Context) error {
 	for _, i := range d.State().Intents {
 		var err error
 		switch i.State {
 		case world.IntentPending:
-			err = d.resolve(ctx, i.Order, inherited)
+			err = d.resolve(ctx, i.Order)
 		case world.IntentAmbiguous:
 			err = d.replace(ctx, i.Order)
 		}
@@ -218,11 +221,12 @@
 
 // resolve sends an unresolved order again with the same id, or abandons its endpoint when a late copy of the predecessor's
 // order could not be told from a new one.
-func (d *Dispatcher) resolve(ctx context.Context, o world.Order, inherited bool) error {
+func (d *Dispatcher) resolve(ctx context.Context, o world.Order) error {
 	if toProvider(o.Kind) {
 		return d.dispatch(ctx, o, true)
 	}
 	e, known := d.o.Endpoint(o.Endpoint)
+	inherited := o.Fence != d.o.Authority.Fence()
 	if inherited && !(known && e.ChecksFence) {
 		return d.abandon(ctx, o, "sent by an earlier holder to an endpoint that does not check fencing numbers")
 	}
--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -141,8 +141,9 @@
 	return w
 }
 
-// Run copies counters to peers until ctx ends. Counters that no peer has confirmed are tried again once a second.
+// Run copies counters to peers until ctx ends. Counters that a peer has not confirmed are tried again once a second.
 func (l *Ledger) Run(ctx context.Context) error {
+	defer func() { answerAll(l.takeWaiting(), ErrNoCopy) }()
 	retry := time.NewTicker(suspectFor)
 	defer retry.Stop()
 	for {
@@ -153,14 +154,22 @@
 			time.Sleep(groupEvery)
 		case <-retry.C:
 		}
-		l.mu.Lock()
-		group := l.waiting
-		l.waiting = nil
-		l.mu.Unlock()
-		err := l.copyGroup(ctx)
-		for _, done := range group {
-			done <- err
-		}
+		group := l.takeWaiting()
+		answerAll(group, l.copyGroup(ctx))
+	}
+}
+
+func (l *Ledger) takeWaiting() []chan error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	group := l.waiting
+	l.waiting = nil
+	return group
+}
+
+func answerAll(group []chan error, err error) {
+	for _, done := range group {
+		done <- err
 	}
 }
 
