Test lost acquisition answers, repeated substitutes and late sealers

Cause: trial changes of the code passed the tests: a lost acquisition answer that is not recognised, holder time counted from the answer, a substitute with a fresh id for each successor, a late sealer that reports its own figures. Change: the tests of lease, order and usage provoke these cases.

--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -19,10 +19,15 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
+// slowWrite is how long the platform takes for a write of a frozen store.
+const slowWrite = 800 * time.Millisecond
+
 // frozen is a store whose calls of one process hang until its context ends, as if the process were cut off.
 type frozen struct {
 	platform.Store
 	cut atomic.Bool
+	// sent is when the last write that succeeded was sent, in Unix nanoseconds.
+	sent atomic.Int64
 }
 
 func (f *frozen) Put(ctx context.Context, kind, name string, data []byte, v uint64) (uint64, error) {
@@ -30,6 +35,9 @@
 		<-ctx.Done()
 		return 0, platform.ErrUnavailable
 	}
+	sent := time.Now().UnixNano()
+	time.Sleep(slowWrite)
+	f.sent.Store(sent)
 	return f.Store.Put(ctx, kind, name, data, v)
 }
 
@@ -87,10 +95,13 @@
 		if got := r.fences(); len(got) != 1 {
 			t.Fatalf("a live holder was replaced: terms %v", got)
 		}
+		for sent := cut.sent.Load(); cut.sent.Load() == sent; {
+			time.Sleep(time.Millisecond)
+		}
 		cut.cut.Store(true)
-		time.Sleep(DefaultTTL - DefaultMargin + time.Millisecond)
+		time.Sleep(time.Until(time.Unix(0, cut.sent.Load()).Add(DefaultTTL - DefaultMargin)))
 		if r.first().Valid() {
-			t.Error("the cut-off holder acts after TTL minus margin")
+			t.Error("the cut-off holder acts later than TTL minus margin after it sent its last renewal")
 		}
 		time.Sleep(time.Minute)
 		if got := r.fences(); len(got) != 2 || got[1] != 2 {
@@ -110,8 +121,8 @@
 		start(ctx, t, mem, "a", r, nil)
 		start(ctx, t, mem, "b", r, nil)
 		time.Sleep(30 * time.Second)
-		if got := r.fences(); len(got) != 1 || !r.first().Valid() {
-			t.Errorf("terms %v, want one that lasts", got)
+		if got := r.fences(); len(got) != 1 || got[0] != 1 || !r.first().Valid() {
+			t.Errorf("terms %v, want the first write recognised and a term that lasts", got)
 		}
 		mem.UpdateFaults(func(f *memplatform.Faults) { f.Down = true })
 		time.Sleep(DefaultTTL)
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/goleak"
 
 	"crocusglade.example/crocusglade/internal/lease"
+	"crocusglade.example/crocusglade/internal/platform"
 	"crocusglade.example/crocusglade/internal/platform/memplatform"
 	"crocusglade.example/crocusglade/internal/world"
 )
@@ -59,16 +60,33 @@
 type fixture struct {
 	mem    *memplatform.Platform
 	engine *engine
+	// afterOrder runs after each provider order has taken effect.
+	afterOrder func()
+}
+
+// Order implements platform.Provider; the answer is lost when afterOrder is set.
+func (f *fixture) Order(ctx context.Context, pool string, o world.Order, expected uint64) (platform.ProviderView, error) {
+	view, err := f.mem.Order(ctx, pool, o, expected)
+	if err == nil && f.afterOrder != nil {
+		f.afterOrder()
+		return platform.ProviderView{}, platform.ErrUnavailable
+	}
+	return view, err
+}
+
+// Endpoints implements platform.Provider.
+func (f *fixture) Endpoints(ctx context.Context, pool string) (platform.ProviderView, error) {
+	return f.mem.Endpoints(ctx, pool)
 }
 
 func newFixture(checks bool) *fixture {
-	f := &fixture{memplatform.New(), &engine{checks: checks}}
+	f := &fixture{mem: memplatform.New(), engine: &engine{checks: checks}}
 	f.mem.SetEndpoints("p", []world.Endpoint{{Name: "e1", FailureDomain: "roja", Class: world.OnDemand}})
 	return f
 }
 
 func (f *fixture) dispatcher(a *lease.Authority) *Dispatcher {
-	return New(Options{Pool: "p", Holder: "h", Authority: a, Store: f.mem, Provider: f.mem, Control: f.engine,
+	return New(Options{Pool: "p", Holder: "h", Authority: a, Store: f.mem, Provider: f, Control: f.engine,
 		Endpoint: func(name string) (world.Endpoint, bool) {
 			return world.Endpoint{Name: name, FailureDomain: "roja", Class: world.OnDemand, ChecksFence: f.engine.checks}, name == "e1"
 		}})
@@ -167,7 +185,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(false)
 		f.leaveUnresolved(t)
-		for fence := uint64(2); fence < 4; fence++ {
+		// The first successor loses its authority after it ordered the substitute.
+		a := lease.NewAuthority(t.Context(), 2, time.Hour, nil)
+		f.afterOrder = a.End
+		wantErr(t, f.dispatcher(a).TakeOver(t.Context()), lease.ErrNoAuthority)
+		f.afterOrder = nil
+		for fence := uint64(3); fence < 5; fence++ {
 			f.mem.UpdateFaults(func(x *memplatform.Faults) { x.LoseAnswers = 3 })
 			d, a := f.takeOver(t, fence)
 			defer a.End()
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -218,6 +218,14 @@
 			})
 		}
 		wg.Wait()
+		// A third sealer, whose gateways have restarted and lost their counters, must keep to the sealed figures.
+		a := lease.NewAuthority(ctx, 3, time.Hour, nil)
+		mem.UpdateFaults(func(f *memplatform.Faults) { f.LoseAnswers = 0 })
+		got, err := sealer(newNetwork("a", "b", "c"), mem, "h3").Seal(a, w)
+		if err != nil || got.Teams["rope"] != plus(one, one) {
+			t.Errorf("third sealer: %+v, %v", got, err)
+		}
+		a.End()
 		if len(figures) != 1 || len(mem.Reports()) != 1 {
 			t.Errorf("reported figures %v", figures)
 		}
