peer: gateway server, neighbour exchange, contact rule and readiness in an outage

Gateways had no way to share demand, sends and quarantine, to tell an outage from a partition, or to restart while the platform is down.

- Mesh holds one conversation per neighbour (the smaller name dials).
Each outbox sends deltas at most every 250 ms and a heartbeat a second; a neighbour silent for 3 s is reported gone.
- Ruled out: one shared stream of sends (a slow neighbour would lose deltas of the others).

--- /dev/null
+++ b/internal/peer/clients.go
@@ -0,0 +1,94 @@
+// Package peer is how the system's own processes talk to each other: the gRPC server of a gateway, connections to other VMs, the
+// exchange between neighbouring gateways and the rule that tells whether a gateway is still in contact.
+package peer
+
+import (
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"crocusglade.example/crocusglade/internal/peer/peerpb"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+// MaxMessageBytes bounds one message. A whole snapshot of 3,500 teams takes about 1.5 MB.
+const MaxMessageBytes = 32 << 20
+
+// Clients keeps one connection to each process that is called. Its methods may be called concurrently.
+type Clients struct {
+	options []grpc.DialOption
+
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+}
+
+// NewClients returns clients that use mutual TLS, or plain TCP when creds is nil. Check addresses with auth.CheckPlain first.
+func NewClients(creds credentials.TransportCredentials, extra ...grpc.DialOption) *Clients {
+	if creds == nil {
+		creds = insecure.NewCredentials()
+	}
+	retry := backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: 3 * time.Second}
+	options := []grpc.DialOption{
+		grpc.WithTransportCredentials(creds),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: retry, MinConnectTimeout: 2 * time.Second}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes)),
+	}
+	return &Clients{options: append(options, extra...), conns: make(map[string]*grpc.ClientConn)}
+}
+
+// Conn returns the connection to an address. It is made when it is first used.
+func (c *Clients) Conn(addr string) (*grpc.ClientConn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn, ok := c.conns[addr]; ok {
+		return conn, nil
+	}
+	if addr == "" {
+		return nil, errors.New("peer: the VM has no address for this process; check the platform's VM list")
+	}
+	conn, err := grpc.NewClient("passthrough:///"+addr, c.options...)
+	if err != nil {
+		return nil, errors.Wrapf(err, "peer: connect to %s", addr)
+	}
+	c.conns[addr] = conn
+	return conn, nil
+}
+
+// Gateway returns a client of a VM's gateway.
+func (c *Clients) Gateway(vm world.VM) (peerpb.GatewayClient, error) {
+	conn, err := c.Conn(vm.GatewayPeerAddr)
+	if err != nil {
+		return nil, err
+	}
+	return peerpb.NewGatewayClient(conn), nil
+}
+
+// DialController has the type config.Dial: it returns the connection to a VM's controller.
+func (c *Clients) DialController(vm world.VM) (grpc.ClientConnInterface, func(), error) {
+	conn, err := c.Conn(vm.ControllerPeerAddr)
+	return conn, func() {}, err
+}
+
+// Keep closes connections to addresses that no VM in the list has.
+func (c *Clients) Keep(vms []world.VM) {
+	known := make(map[string]bool, 2*len(vms))
+	for _, vm := range vms {
+		known[vm.GatewayPeerAddr], known[vm.ControllerPeerAddr] = true, true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for addr, conn := range c.conns {
+		if !known[addr] {
+			conn.Close()
+			delete(c.conns, addr)
+		}
+	}
+}
+
+// Close closes all connections.
+func (c *Clients) Close() { c.Keep(nil) }
--- /dev/null
+++ b/internal/peer/mesh.go
@@ -0,0 +1,353 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"crocusglade.example/crocusglade/internal/balancer"
+	"crocusglade.example/crocusglade/internal/config"
+	"crocusglade.example/crocusglade/internal/membership"
+	"crocusglade.example/crocusglade/internal/peer/peerpb"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+const (
+	// heartbeatPeriod is the longest time between two messages to a neighbour.
+	heartbeatPeriod = time.Second
+	// deltaPeriod is the shortest time between two messages to a neighbour.
+	deltaPeriod = 250 * time.Millisecond
+	// silentAfter is how long a neighbour may send nothing before it counts as unreachable.
+	silentAfter = 3 * time.Second
+	// redialPeriod is the wait before a lost exchange is set up again.
+	redialPeriod = 500 * time.Millisecond
+	// snapshotPatience is how long a neighbour's revision may be larger before its snapshot is fetched; a relay normally
+	// delivers within a second.
+	snapshotPatience = 2 * time.Second
+)
+
+// Death is one endpoint that died while it ran a request.
+type Death struct {
+	Fingerprint uint64
+	Endpoint    string
+}
+
+// Local is what a gateway tells its neighbours.
+type Local interface {
+	// PeerDemand returns the current demand of each team with any.
+	PeerDemand() map[string]*peerpb.TeamDemand
+	// TakeSends returns and clears what was sent to endpoints since the last call.
+	TakeSends() map[string]balancer.Send
+	// PeerQuarantine returns the quarantined fingerprints with their remaining time.
+	PeerQuarantine() map[uint64]time.Duration
+	// TakeDeaths returns and clears the deaths that this gateway saw since the last call.
+	TakeDeaths() []Death
+	// Draining tells whether the gateway takes no new callers.
+	Draining() bool
+}
+
+// Remote takes what neighbours tell.
+type Remote interface {
+	// NeighbourDemand replaces the demand of some teams at a neighbour; zero values mean that there is none any more.
+	NeighbourDemand(vm string, demand []*peerpb.TeamDemand)
+	NeighbourSend(vm, endpoint string, promptTokens int64, requests int)
+	NeighbourQuarantine(fingerprint uint64, remaining time.Duration)
+	NeighbourDeath(fingerprint uint64, endpoint string)
+	// NeighbourGone is called when a neighbour falls silent: its demand no longer counts.
+	NeighbourGone(vm string)
+}
+
+// stream is the common part of both ends of an exchange.
+type stream interface {
+	Send(*peerpb.PeerUpdate) error
+	Recv() (*peerpb.PeerUpdate, error)
+	Context() context.Context
+}
+
+// neighbour is what is known of one VM that has exchanged messages.
+type neighbour struct {
+	heard      time.Time
+	revision   uint64
+	aheadSince time.Time
+	draining   bool
+	gone       bool
+	outbox     *outbox
+}
+
+// Mesh exchanges updates with the neighbours of a gateway, with one conversation for each. The VM with the smaller name dials.
+type Mesh struct {
+	self, incarnation string
+	members           *membership.Members
+	clients           *Clients
+	holder            *config.Holder
+	freshness         *config.Freshness
+	local             Local
+	remote            Remote
+
+	mu         sync.Mutex
+	neighbours map[string]*neighbour
+	dialing    map[string]context.CancelFunc
+	wg         sync.WaitGroup
+}
+
+// NewMesh returns the exchange of the gateway on VM self.
+func NewMesh(self, incarnation string, m *membership.Members, c *Clients, h *config.Holder, f *config.Freshness, l Local, r Remote) *Mesh {
+	return &Mesh{self: self, incarnation: incarnation, members: m, clients: c, holder: h, freshness: f, local: l, remote: r,
+		neighbours: make(map[string]*neighbour), dialing: make(map[string]context.CancelFunc)}
+}
+
+// Run exchanges updates until ctx ends.
+func (m *Mesh) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer m.wg.Wait()
+	defer cancel()
+	ticker := time.NewTicker(deltaPeriod)
+	defer ticker.Stop()
+	for {
+		m.redial(ctx)
+		m.collect()
+		m.dropSilent()
+		m.catchUp(ctx)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// redial starts a conversation with each new neighbour that this VM dials, and ends those with VMs that are none any more.
+func (m *Mesh) redial(ctx context.Context) {
+	wanted := make(map[string]bool)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, vm := range m.members.Neighbours() {
+		if vm.Name < m.self {
+			continue
+		}
+		wanted[vm.Name] = true
+		if m.dialing[vm.Name] == nil {
+			dialCtx, cancel := context.WithCancel(ctx)
+			m.dialing[vm.Name] = cancel
+			m.wg.Go(func() { m.dial(dialCtx, vm.Name) })
+		}
+	}
+	for name, cancel := range m.dialing {
+		if !wanted[name] {
+			cancel()
+			delete(m.dialing, name)
+		}
+	}
+}
+
+// dial keeps one conversation going until ctx ends.
+func (m *Mesh) dial(ctx context.Context, name string) {
+	for ctx.Err() == nil {
+		if vm, ok := m.members.VM(name); ok {
+			_ = m.exchange(ctx, vm)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(redialPeriod):
+		}
+	}
+}
+
+func (m *Mesh) exchange(ctx context.Context, vm world.VM) error {
+	client, err := m.clients.Gateway(vm)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s, err := client.Exchange(ctx)
+	if err != nil {
+		return err
+	}
+	return m.converse(s, vm.Name, cancel)
+}
+
+// accept serves a conversation that a neighbour began. Its first message names it.
+func (m *Mesh) accept(s stream) error {
+	u, err := s.Recv()
+	if err != nil {
+		return err
+	}
+	if u.Vm == "" || u.Vm == m.self {
+		return errors.Errorf("peer: exchange from VM %q; set a unique VM name", u.Vm)
+	}
+	m.take(u)
+	return m.converse(s, u.Vm, func() {})
+}
+
+// converse sends and receives until either fails or the neighbour is silent. When the server's side returns, gRPC ends the stream
+// and with it the receiving goroutine.
+func (m *Mesh) converse(s stream, vm string, cancel func()) error {
+	out := m.open(vm)
+	defer m.close(vm, out)
+	received := make(chan error, 1)
+	heard := make(chan struct{}, 1)
+	go func() { received <- m.receive(s, vm, heard) }()
+	silence := time.NewTimer(silentAfter)
+	defer silence.Stop()
+	ticker := time.NewTicker(deltaPeriod)
+	defer ticker.Stop()
+	defer cancel()
+	last := time.Time{}
+	for {
+		if u := out.next(); u != nil || time.Since(last) >= heartbeatPeriod {
+			if err := s.Send(m.stamp(u)); err != nil {
+				return err
+			}
+			last = time.Now()
+		}
+		select {
+		case err := <-received:
+			return err
+		case <-heard:
+			silence.Reset(silentAfter)
+		case <-silence.C:
+			return errors.Errorf("peer: neighbour %s is silent", vm)
+		case <-s.Context().Done():
+			return s.Context().Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+func (m *Mesh) receive(s stream, vm string, heard chan<- struct{}) error {
+	for {
+		u, err := s.Recv()
+		if err != nil {
+			return err
+		}
+		if u.Vm != vm {
+			return errors.Errorf("peer: exchange of %s names %q", vm, u.Vm)
+		}
+		m.take(u)
+		select {
+		case heard <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// stamp adds what every message carries.
+func (m *Mesh) stamp(u *peerpb.PeerUpdate) *peerpb.PeerUpdate {
+	if u == nil {
+		u = &peerpb.PeerUpdate{}
+	}
+	u.Vm, u.Incarnation = m.self, m.incarnation
+	u.Revision, u.PlatformAgeMs = m.holder.Current().Revision(), m.freshness.AgeMS()
+	u.Draining = m.local.Draining()
+	return u
+}
+
+// take passes a neighbour's message on. An age confirms this gateway's configuration only when both have the same revision.
+func (m *Mesh) take(u *peerpb.PeerUpdate) {
+	own := m.holder.Current().Revision()
+	if u.Revision == own && own > 0 {
+		m.freshness.Confirm(u.PlatformAgeMs)
+	}
+	m.mu.Lock()
+	n := m.neighbour(u.Vm)
+	n.heard, n.revision, n.draining, n.gone = time.Now(), u.Revision, u.Draining, false
+	if u.Revision <= own {
+		n.aheadSince = time.Time{}
+	} else if n.aheadSince.IsZero() {
+		n.aheadSince = n.heard
+	}
+	m.mu.Unlock()
+	if len(u.Demand) > 0 {
+		m.remote.NeighbourDemand(u.Vm, u.Demand)
+	}
+	for _, e := range u.Sends {
+		m.remote.NeighbourSend(u.Vm, e.Endpoint, e.PromptTokens, int(e.Requests))
+	}
+	for _, q := range u.Quarantined {
+		m.remote.NeighbourQuarantine(q.Fingerprint, time.Duration(q.Seconds)*time.Second)
+	}
+	for _, d := range u.Deaths {
+		m.remote.NeighbourDeath(d.Fingerprint, d.Endpoint)
+	}
+}
+
+// neighbour returns the record of a VM. The caller holds the lock.
+func (m *Mesh) neighbour(vm string) *neighbour {
+	n, ok := m.neighbours[vm]
+	if !ok {
+		n = &neighbour{}
+		m.neighbours[vm] = n
+	}
+	return n
+}
+
+func (m *Mesh) open(vm string) *outbox {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := newOutbox()
+	m.neighbour(vm).outbox = out
+	return out
+}
+
+func (m *Mesh) close(vm string, out *outbox) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if n := m.neighbours[vm]; n != nil && n.outbox == out {
+		n.outbox = nil
+	}
+}
+
+// collect takes what changed here once and puts it into each neighbour's outbox.
+func (m *Mesh) collect() {
+	demand, quarantine := m.local.PeerDemand(), m.local.PeerQuarantine()
+	sends, deaths := m.local.TakeSends(), m.local.TakeDeaths()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, n := range m.neighbours {
+		if n.outbox != nil {
+			n.outbox.add(demand, sends, quarantine, deaths)
+		}
+	}
+}
+
+// dropSilent reports neighbours that fell silent, and forgets them.
+func (m *Mesh) dropSilent() {
+	m.mu.Lock()
+	var silent []string
+	for vm, n := range m.neighbours {
+		if time.Since(n.heard) > silentAfter && !n.gone {
+			n.gone = true
+			silent = append(silent, vm)
+		}
+		if n.gone && n.outbox == nil {
+			if _, known := m.members.VM(vm); !known {
+				delete(m.neighbours, vm)
+			}
+		}
+	}
+	m.mu.Unlock()
+	for _, vm := range silent {
+		m.remote.NeighbourGone(vm)
+	}
+}
+
+// Alive tells whether a neighbour was heard in the last 3 s.
+func (m *Mesh) Alive(vm string) bool { return m.heardWithin(vm, silentAfter) }
+
+// Serving tells whether a neighbour is alive and takes new callers; others leave the answer of GET /v1/entry.
+func (m *Mesh) Serving(vm string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n, ok := m.neighbours[vm]
+	return ok && time.Since(n.heard) <= silentAfter && !n.draining
+}
+
+func (m *Mesh) heardWithin(vm string, d time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n, ok := m.neighbours[vm]
+	return ok && time.Since(n.heard) <= d
+}
--- /dev/null
+++ b/internal/peer/mesh_test.go
@@ -0,0 +1,259 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/test/bufconn"
+
+	"crocusglade.example/crocusglade/internal/balancer"
+	"crocusglade.example/crocusglade/internal/config"
+	"crocusglade.example/crocusglade/internal/membership"
+	"crocusglade.example/crocusglade/internal/peer/peerpb"
+	"crocusglade.example/crocusglade/internal/platform/memplatform"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+// gateway is a fake gateway with a mesh.
+type gateway struct {
+	mu         sync.Mutex
+	demand     map[string]*peerpb.TeamDemand
+	sends      map[string]balancer.Send
+	quarantine map[uint64]time.Time
+	deaths     []Death
+
+	gotDemand     map[string]float64
+	gotSends      map[string]int64
+	gotQuarantine map[uint64]int
+	gotDeaths     int
+	gone          []string
+
+	ready     bool
+	holder    *config.Holder
+	freshness config.Freshness
+	mesh      *Mesh
+}
+
+func (g *gateway) lock(f func()) { g.mu.Lock(); defer g.mu.Unlock(); f() }
+
+func (g *gateway) PeerDemand() (d map[string]*peerpb.TeamDemand) {
+	g.lock(func() { d = g.demand })
+	return d
+}
+func (g *gateway) TakeSends() (s map[string]balancer.Send) {
+	g.lock(func() { s, g.sends = g.sends, nil })
+	return s
+}
+func (g *gateway) PeerQuarantine() (q map[uint64]time.Duration) {
+	g.lock(func() {
+		q = make(map[uint64]time.Duration)
+		for fingerprint, until := range g.quarantine {
+			q[fingerprint] = time.Until(until)
+		}
+	})
+	return q
+}
+func (g *gateway) TakeDeaths() (d []Death) {
+	g.lock(func() { d, g.deaths = g.deaths, nil })
+	return d
+}
+func (g *gateway) Draining() bool { return false }
+func (g *gateway) PeerStatus() (r *peerpb.StatusResponse) {
+	g.lock(func() { r = &peerpb.StatusResponse{Ready: g.ready} })
+	return r
+}
+func (g *gateway) setReady(ready bool) { g.lock(func() { g.ready = ready }) }
+
+func (g *gateway) NeighbourDemand(vm string, demand []*peerpb.TeamDemand) {
+	g.lock(func() {
+		for _, d := range demand {
+			g.gotDemand[vm+"/"+d.Team] = d.TokensPerSecond
+		}
+	})
+}
+func (g *gateway) NeighbourSend(vm, endpoint string, tokens int64, _ int) {
+	g.lock(func() { g.gotSends[endpoint] += tokens })
+}
+func (g *gateway) NeighbourQuarantine(fingerprint uint64, _ time.Duration) {
+	g.lock(func() { g.gotQuarantine[fingerprint]++ })
+}
+func (g *gateway) NeighbourDeath(uint64, string) { g.lock(func() { g.gotDeaths++ }) }
+func (g *gateway) NeighbourGone(vm string)       { g.lock(func() { g.gone = append(g.gone, vm) }) }
+
+// cluster is n gateways that reach each other in memory.
+type cluster struct {
+	gateways  []*gateway
+	listeners map[string]*bufconn.Listener
+	mu        sync.Mutex
+	cut       map[string]bool
+	conns     []net.Conn
+}
+
+// isolate closes and refuses all connections from and to a VM by dropping every connection and refusing the VM's address.
+func (c *cluster) isolate(vm string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut[vm] = true
+	for _, conn := range c.conns {
+		conn.Close()
+	}
+}
+
+func startCluster(t *testing.T, n int) *cluster {
+	c := &cluster{listeners: map[string]*bufconn.Listener{}, cut: map[string]bool{}}
+	p := memplatform.New()
+	var vms []world.VM
+	for i := range n {
+		name := fmt.Sprintf("vm-%d", i)
+		vms = append(vms, world.VM{Name: name, FailureDomain: fmt.Sprintf("d%d", i%3), State: world.VMLive, GatewayPeerAddr: name})
+		c.listeners[name] = bufconn.Listen(1 << 16)
+	}
+	p.SetVMs(vms)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	for _, vm := range vms {
+		c.gateways = append(c.gateways, c.start(ctx, t, &wg, p, vm))
+	}
+	return c
+}
+
+func (c *cluster) start(ctx context.Context, t *testing.T, wg *sync.WaitGroup, p *memplatform.Platform, vm world.VM) *gateway {
+	g := &gateway{holder: config.NewHolder(), ready: true, gotDemand: map[string]float64{}, gotSends: map[string]int64{}, gotQuarantine: map[uint64]int{}}
+	members := membership.New(vm, p)
+	members.Refresh(ctx)
+	clients := NewClients(nil, grpc.WithContextDialer(func(ctx context.Context, addr string) (net.Conn, error) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.cut[addr] || c.cut[vm.Name] {
+			return nil, net.ErrClosed
+		}
+		conn, err := c.listeners[addr].DialContext(ctx)
+		c.conns = append(c.conns, conn)
+		return conn, err
+	}))
+	g.mesh = NewMesh(vm.Name, "i1", members, clients, g.holder, &g.freshness, g, g)
+	server := grpc.NewServer()
+	peerpb.RegisterGatewayServer(server, &Server{VM: vm.Name, Incarnation: "i1", Holder: g.holder, Freshness: &g.freshness, Mesh: g.mesh, Status: g})
+	wg.Go(func() { _ = server.Serve(c.listeners[vm.Name]) })
+	wg.Go(func() { _ = g.mesh.Run(ctx); clients.Close(); server.Stop() })
+	return g
+}
+
+func team(name string, version uint64) world.Event {
+	data, _ := json.Marshal(world.Team{Name: name})
+	return world.Event{Revision: version, Type: world.EventPut, Object: world.Object{Kind: world.KindTeam, Name: name, Version: version, Data: data}}
+}
+
+// Guards against deltas that are lost, sent twice or sent to one neighbour only.
+func TestExchangeDeltas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startCluster(t, 4)
+		time.Sleep(2 * time.Second)
+		c.gateways[1].lock(func() {
+			c.gateways[1].demand = map[string]*peerpb.TeamDemand{"a": {TokensPerSecond: 10}}
+			c.gateways[1].sends = map[string]balancer.Send{"e": {PromptTokens: 7, Requests: 1}}
+			c.gateways[1].quarantine = map[uint64]time.Time{5: time.Now().Add(time.Minute)}
+			c.gateways[1].deaths = []Death{{5, "e"}}
+		})
+		time.Sleep(5 * time.Second)
+		for i, g := range c.gateways {
+			if i == 1 {
+				continue
+			}
+			g.lock(func() {
+				if g.gotDemand["vm-1/a"] != 10 || g.gotSends["e"] != 7 || g.gotQuarantine[5] != 1 || g.gotDeaths != 1 || len(g.gone) != 0 {
+					t.Errorf("gateway %d got demand %v, sends %v, quarantine %v, %d deaths, gone %v", i, g.gotDemand, g.gotSends, g.gotQuarantine, g.gotDeaths, g.gone)
+				}
+			})
+		}
+		c.gateways[1].lock(func() { c.gateways[1].demand = nil })
+		time.Sleep(2 * time.Second)
+		c.gateways[0].lock(func() {
+			if d, ok := c.gateways[0].gotDemand["vm-1/a"]; !ok || d != 0 {
+				t.Errorf("ended demand stays at %v", d)
+			}
+		})
+	})
+}
+
+// Guards against a cut-off gateway that goes on admitting keyed work, and against an outage of the platform that stops the others.
+func TestContactOfCutOffGateway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startCluster(t, 4)
+		time.Sleep(2 * time.Second)
+		for i, g := range c.gateways {
+			if !g.mesh.InContact() {
+				t.Fatalf("gateway %d has lost contact while all are connected and the platform is down", i)
+			}
+		}
+		c.isolate("vm-3")
+		time.Sleep(3 * time.Second)
+		if !c.gateways[0].mesh.Alive("vm-1") {
+			t.Fatal("connected gateways did not reconnect")
+		}
+		time.Sleep(2*time.Second + 500*time.Millisecond)
+		cut := c.gateways[3]
+		if cut.mesh.InContact() || c.gateways[0].mesh.Alive("vm-3") || c.gateways[0].mesh.Serving("vm-3") {
+			t.Fatalf("cut-off gateway in contact: %v", cut.mesh.InContact())
+		}
+		for i := range 3 {
+			if !c.gateways[i].mesh.InContact() {
+				t.Fatalf("gateway %d of the majority has lost contact", i)
+			}
+		}
+		c.gateways[0].lock(func() {
+			if len(c.gateways[0].gone) != 1 || c.gateways[0].gone[0] != "vm-3" {
+				t.Errorf("gone: %v", c.gateways[0].gone)
+			}
+		})
+	})
+}
+
+// Guards against a change that only a neighbour has, because this gateway's relays are gone.
+func TestSnapshotFromNeighbour(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startCluster(t, 3)
+		c.gateways[2].holder.Apply([]world.Event{team("a", 9)})
+		time.Sleep(5 * time.Second)
+		for i, g := range c.gateways {
+			if g.holder.Current().Team("a") == nil {
+				t.Errorf("gateway %d lacks the change", i)
+			}
+		}
+	})
+}
+
+// Guards against a gateway that restarts in an outage and serves with a snapshot that a majority does not confirm.
+func TestReadinessInOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startCluster(t, 4)
+		for _, g := range c.gateways[1:] {
+			g.holder.Apply([]world.Event{team("a", 9)})
+		}
+		c.gateways[2].setReady(false)
+		c.gateways[0].setReady(false)
+		r := NewReadiness(c.gateways[0].mesh, func() bool { return false })
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); _ = r.Run(ctx) }()
+		time.Sleep(4 * time.Second)
+		if r.Ready() {
+			t.Fatal("ready with answers of two ready gateways of four")
+		}
+		c.gateways[2].setReady(true)
+		time.Sleep(2 * time.Second)
+		if !r.Ready() || c.gateways[0].holder.Current().Team("a") == nil {
+			t.Fatal("not ready with a majority's snapshot")
+		}
+		cancel()
+		<-done
+	})
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,118 @@
+package peer
+
+import (
+	"context"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"crocusglade.example/crocusglade/internal/config"
+	"crocusglade.example/crocusglade/internal/peer/peerpb"
+)
+
+// UsageStore is what the server needs of a gateway's usage counters.
+type UsageStore interface {
+	// CopyUsage stores counters of another gateway and returns windows that are closed here.
+	CopyUsage(counters []*peerpb.Usage) (closed []int64)
+	// CollectWindow closes a window and returns own and copied counters.
+	CollectWindow(ctx context.Context, window int64, holder string, fence uint64) ([]*peerpb.Usage, error)
+}
+
+// Answers is what the server needs of a gateway's kept answers.
+type Answers interface {
+	// FetchAnswer sends a kept or running answer from an offset in bytes. For an unknown answer, or one of another team, it
+	// sends one chunk whose Found is false.
+	FetchAnswer(ctx context.Context, requestID, team string, offset int64, send func(*peerpb.AnswerChunk) error) error
+}
+
+// StatusSource gives the part of a gateway's status that only the gateway knows: draining, ready, requests in flight and attempts
+// of claims.
+type StatusSource interface {
+	PeerStatus() *peerpb.StatusResponse
+}
+
+// BurnSource gives a gateway's counts of requests within and outside of their target.
+type BurnSource interface {
+	PeerBurn() []*peerpb.BurnSeries
+}
+
+// Server implements peerpb.GatewayServer for a gateway. Usage, Answers, Status and Burn may be nil; their calls then answer
+// Unimplemented, or with empty values for Status.
+type Server struct {
+	peerpb.UnimplementedGatewayServer
+	VM, Incarnation string
+	Holder          *config.Holder
+	Freshness       *config.Freshness
+	Mesh            *Mesh
+	Usage           UsageStore
+	Answers         Answers
+	Status          StatusSource
+	Burn            BurnSource
+}
+
+// Exchange implements peerpb.GatewayServer.
+func (s *Server) Exchange(stream grpc.BidiStreamingServer[peerpb.PeerUpdate, peerpb.PeerUpdate]) error {
+	return s.Mesh.accept(stream)
+}
+
+// CopyUsage implements peerpb.GatewayServer.
+func (s *Server) CopyUsage(_ context.Context, r *peerpb.CopyUsageRequest) (*peerpb.CopyUsageResponse, error) {
+	if s.Usage == nil {
+		return nil, errNotServed
+	}
+	return &peerpb.CopyUsageResponse{Closed: s.Usage.CopyUsage(r.Counters)}, nil
+}
+
+// CollectWindow implements peerpb.GatewayServer.
+func (s *Server) CollectWindow(ctx context.Context, r *peerpb.CollectWindowRequest) (*peerpb.CollectWindowResponse, error) {
+	if s.Usage == nil {
+		return nil, errNotServed
+	}
+	counters, err := s.Usage.CollectWindow(ctx, r.Window, r.Holder, r.Fence)
+	if err != nil {
+		return nil, status.Error(codes.FailedPrecondition, err.Error())
+	}
+	return &peerpb.CollectWindowResponse{Incarnation: s.Incarnation, Counters: counters}, nil
+}
+
+// FetchAnswer implements peerpb.GatewayServer.
+func (s *Server) FetchAnswer(r *peerpb.FetchAnswerRequest, stream grpc.ServerStreamingServer[peerpb.AnswerChunk]) error {
+	if s.Answers == nil {
+		return errNotServed
+	}
+	return s.Answers.FetchAnswer(stream.Context(), r.RequestId, r.Team, r.Offset, stream.Send)
+}
+
+// Snapshot implements peerpb.GatewayServer.
+func (s *Server) Snapshot(context.Context, *peerpb.SnapshotRequest) (*peerpb.ConfigUpdate, error) {
+	return config.FullUpdate(s.Holder.Current(), s.Freshness.AgeMS()), nil
+}
+
+// GetStatus implements peerpb.GatewayServer.
+func (s *Server) GetStatus(_ context.Context, r *peerpb.StatusRequest) (*peerpb.StatusResponse, error) {
+	out := &peerpb.StatusResponse{}
+	if s.Status != nil {
+		out = s.Status.PeerStatus()
+	}
+	now := s.Holder.Current()
+	out.Vm, out.Incarnation = s.VM, s.Incarnation
+	out.Revision, out.PlatformAgeMs = now.Revision(), s.Freshness.AgeMS()
+	for name := range now.Bad() {
+		out.BadObjects = append(out.BadObjects, name)
+	}
+	if r.Kind != "" {
+		out.ObjectVersion = now.ObjectVersion(r.Kind, r.Name)
+	}
+	return out, nil
+}
+
+// GetBurn implements peerpb.GatewayServer.
+func (s *Server) GetBurn(context.Context, *peerpb.BurnRequest) (*peerpb.BurnResponse, error) {
+	if s.Burn == nil {
+		return nil, errNotServed
+	}
+	return &peerpb.BurnResponse{Series: s.Burn.PeerBurn()}, nil
+}
+
+var errNotServed = status.Error(codes.Unimplemented, "this process does not serve the call; call a gateway")
