Add the process skeleton of both daemons and the stand-in programs

Cause: the daemons had no way to start, drain and stop, and the stand-ins could not run as processes.

Change: internal/daemon runs the parts of a role as an oklog/run group. SIGTERM makes the process not ready, drains all parts within the limit and only then cancels them; a second signal ends at once with exit code 3.

--- a/cmd/crocusgladed/main.go
+++ b/cmd/crocusgladed/main.go
@@ -1,6 +1,30 @@
-// Command crocusgladed is described in docs/design.md, section 2.
+// Command crocusgladed is the daemon: a gateway or a controller on an entry VM.
 package main
 
 import "C"
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"crocusglade.example/crocusglade/internal/daemon"
+	"crocusglade.example/crocusglade/internal/settings"
+)
+
+const usage = `usage: crocusgladed gateway|controller [settings]
+Run 'crocusgladed gateway --help' or 'crocusgladed controller --help' for all settings.
+`
+
+func main() {
+	roles := map[string]func(context.Context, []string, io.Writer, io.Writer) int{
+		"gateway": daemon.Gateway, "controller": daemon.Controller}
+	if len(os.Args) > 1 {
+		if role, ok := roles[os.Args[1]]; ok {
+			os.Exit(role(context.Background(), os.Args[2:], os.Stdout, os.Stderr))
+		}
+	}
+	fmt.Fprint(os.Stderr, usage)
+	os.Exit(settings.ExitUsage)
+}
