--- /dev/null
+++ b/internal/ctl/examples_test.go
@@ -0,0 +1,12 @@
+package ctl
+
+import "testing"
+
+// Guards against shipped examples that the product refuses.
+func TestExamples(t *testing.T) {
+	for _, name := range []string{"rope-harvest", "royalty-office"} {
+		if _, err := readFiles([]string{"../../examples/" + name + ".yaml"}); err != nil {
+			t.Error(err)
+		}
+	}
+}
