--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-faster/errors"
 	"go.uber.org/goleak"
+	"golang.org/x/sys/unix"
 
 	"crocusglade.example/crocusglade/internal/platform"
 	"crocusglade.example/crocusglade/internal/platform/memplatform"
@@ -197,6 +198,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	raw, err := c.(*boundConn).Conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = raw.Control(func(fd uintptr) {
+		if ms, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT); err != nil || ms != 1000 {
+			t.Errorf("TCP_USER_TIMEOUT is %d ms, %v", ms, err)
+		}
+	})
 	if _, err := c.Write([]byte("in time")); err != nil {
 		t.Fatal(err)
 	}
