Test cache events, priorities, abandoned requests and the order of usage

Cause: these rules had code and no test, and three tests depended on the speed of the machine. Change: tests wait for states instead of times. The stand-in engine breaks the connection of a cancelled request that is not streamed; before, it sent the partial output with a finish_reason. Result: go test -race -count=4 passes on gateway, claim, endpoint and standin.

--- a/internal/claim/store_test.go
+++ b/internal/claim/store_test.go
@@ -98,7 +98,7 @@
 	if err := s.Flush(ctx); err != nil {
 		t.Fatal(err)
 	}
-	if _, won := begin(t, s, attempt("k", "2")); !won {
+	if _, won := begin(t, NewStore(Options{Platform: p}), attempt("k", "2")); !won {
 		t.Fatal("a new attempt after the outage did not win")
 	}
 }
--- a/internal/endpoint/endpoint_test.go
+++ b/internal/endpoint/endpoint_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -135,3 +136,83 @@
 		t.Fatalf("lookup %+v, %v", l, err)
 	}
 }
+
+// Guards against gaps in cache events that go unseen, and against events that are lost without one.
+func TestCacheEvents(t *testing.T) {
+	e := standin.NewEngine(standin.EngineConfig{CacheEventGap: 2, CacheEventDelay: 5 * time.Millisecond})
+	addr := serve(t, e)
+	c, ctx := newClient(t), context.Background()
+	events := make(chan endpoint.CacheEvent, 8)
+	opened := make(chan error, 1)
+	go func() {
+		opened <- c.CacheEvents(ctx, addr, func(ev endpoint.CacheEvent) error {
+			events <- ev
+			if len(events) == 3 {
+				return io.EOF
+			}
+			return nil
+		})
+	}()
+	// Events before the subscription are not sent, so requests go on until the last event has come.
+	var prompts []string
+	for ended := false; !ended; {
+		select {
+		case err := <-opened:
+			if err != io.EOF {
+				t.Fatal(err)
+			}
+			ended = true
+		default:
+			prompt := fmt.Sprintf("%064d", len(prompts))
+			prompts = append(prompts, prompt)
+			r := endpoint.DataRequest{Path: endpoint.CompletionPath, RequestID: fmt.Sprint(len(prompts)), Body: []byte(`{"prompt":"` + prompt + `","cache_salt":"s"}`)}
+			if _, err := c.Whole(ctx, addr, r); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	var got []endpoint.CacheEvent
+	close(events)
+	for ev := range events {
+		got = append(got, ev)
+	}
+	for _, ev := range got {
+		if ev.Seq%2 == 0 || len(ev.Stored) != 1 || ev.Stored[0] != endpoint.PrefixBlocks("s", prompts[ev.Seq-1])[0] {
+			t.Fatalf("events %+v", got)
+		}
+	}
+}
+
+// Guards against a stand-in that serves urgent requests after others, which would hide faults in priorities.
+func TestEnginePriorities(t *testing.T) {
+	e := standin.NewEngine(standin.EngineConfig{Slots: 1, DecodeRate: 100})
+	addr := serve(t, e)
+	c, ctx := newClient(t), context.Background()
+	urgent := make(chan error, 1)
+	send := func(id, body string) {
+		_, err := c.Whole(ctx, addr, endpoint.DataRequest{Path: endpoint.CompletionPath, RequestID: id, Body: []byte(body)})
+		if id == "urgent" {
+			urgent <- err
+		}
+	}
+	// The first request holds the only slot until the others wait.
+	for i, r := range [][2]string{{"first", `{"prompt":"p","max_tokens":1000000}`},
+		{"batch", `{"prompt":"p","max_tokens":1000000,"priority":2}`}, {"urgent", `{"prompt":"p","max_tokens":8,"priority":0}`}} {
+		go send(r[0], r[1])
+		for load, err := c.Load(ctx, addr); load.Running+load.Waiting <= i; load, err = c.Load(ctx, addr) {
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	// The batch request does not end by itself, so the urgent one ends only if it runs first.
+	if err := c.Cancel(ctx, addr, "first"); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-urgent; err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Cancel(ctx, addr, "batch"); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/gateway/bed_test.go
+++ b/internal/gateway/bed_test.go
@@ -167,7 +167,7 @@
 	}
 	o := Options{VM: vm, Config: b.holder, Keyring: b.keyring, Admission: admission.New(), Balancer: bal, Budget: retry.NewBudget(1),
 		Quarantine: retry.NewQuarantine(time.Minute), Usage: b, Members: &members{}, Answers: b, Endpoints: client,
-		Claims:      claim.NewStore(claim.Options{Platform: b.platform, BeginTimeout: 200 * time.Millisecond}),
+		Claims:      claim.NewStore(claim.Options{Platform: b.platform, BeginTimeout: 2 * time.Second}),
 		ContactLost: func() bool { b.mu.Lock(); defer b.mu.Unlock(); return b.lost },
 		OnDeath:     func(_ uint64, e string) { b.mu.Lock(); defer b.mu.Unlock(); b.deaths = append(b.deaths, e) }}
 	for _, f := range change {
--- a/internal/gateway/model_test.go
+++ b/internal/gateway/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net/http"
 	"strings"
@@ -13,6 +14,7 @@
 	"crocusglade.example/crocusglade/internal/endpoint"
 	"crocusglade.example/crocusglade/internal/retry"
 	"crocusglade.example/crocusglade/internal/standin"
+	"crocusglade.example/crocusglade/internal/world"
 )
 
 // Guards against streams that are cut, crossed or doubled when an engine fails, and against usage that is counted twice.
@@ -256,3 +258,46 @@
 		t.Fatalf("30 requests put %d on the engines", n)
 	}
 }
+
+// heldRecorder holds the recording of usage until it is released.
+type heldRecorder struct{ entered, release chan struct{} }
+
+func (h heldRecorder) Record(context.Context, string, world.Usage) error {
+	close(h.entered)
+	<-h.release
+	return nil
+}
+
+// Guards against an end marker that reaches the caller before its usage is copied, which a crash would then lose.
+func TestUsageComesBeforeTheEnd(t *testing.T) {
+	b := newBed(t, standin.EngineConfig{})
+	held := heldRecorder{make(chan struct{}), make(chan struct{})}
+	addr := b.gateway("vm-1", func(o *Options) { o.Usage = held })
+	resp, reader := b.start(addr, "rope")
+	<-held.entered
+	kept := b.gateways["vm-1"].answers.get(resp.Header.Get(requestIDHeader), "rope").since(0)
+	if kept.finished || strings.Contains(string(kept.data), "[DONE]") {
+		t.Fatal("the end marker was sent before usage was recorded")
+	}
+	close(held.release)
+	if rest, _ := io.ReadAll(reader); !strings.HasSuffix(string(rest), "data: [DONE]\n\n") {
+		t.Fatalf("the answer ended with %s", rest)
+	}
+}
+
+// Guards against requests that go on at an engine for ever after their caller has left.
+func TestAbandonedRequestIsCancelled(t *testing.T) {
+	b := newBed(t, slow)
+	addr := b.gateway("vm-1", func(o *Options) { o.AbandonAfter = 20 * time.Millisecond })
+	resp, _ := b.start(addr, "rope")
+	resp.Body.Close()
+	for len(b.engines[0].Cancelled()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	for b.gateways["vm-1"].InFlight() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if len(b.usage) != 1 || b.usage[0].OutputTokens == 0 || b.usage[0].OutputTokens >= 100 {
+		t.Fatalf("usage %+v", b.usage)
+	}
+}
--- a/internal/gateway/service_test.go
+++ b/internal/gateway/service_test.go
@@ -38,8 +38,9 @@
 	ok := 0
 	for _, r := range replies {
 		switch {
-		case r.status == 200:
+		case r.status == 200 && r.header.Get(replayHeader) == "":
 			ok++
+		case r.status == 200:
 		case r.err.Kind != apierror.InProgress || r.err.Run != apierror.Unknown:
 			t.Fatalf("got %d %s", r.status, r.body)
 		}
--- a/internal/standin/engine_data.go
+++ b/internal/standin/engine_data.go
@@ -105,6 +105,9 @@
 		}
 	}
 	n, _, _ := g.progress()
+	if n < g.end {
+		abort() // a cancelled generation has no whole answer
+	}
 	id := e.answerID(g, f)
 	text := Output(g.prompt, n)
 	choice := map[string]any{"index": 0, "finish_reason": "stop"}
