--- a/cmd/localfleet/sample.go
+++ b/cmd/localfleet/sample.go
@@ -6,10 +6,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -78,7 +80,7 @@
 	if err := json.Unmarshal(out.Bytes(), &key); err != nil {
 		return "", errors.Wrap(err, "read the issued key")
 	}
-	return key.Key, nil
+	return key.Key, f.awaitKey(ctx, key.Key)
 }
 
 // ctl runs crocusgladectl against the first controller.
@@ -87,12 +89,49 @@
 		append([]string{"--server=http://" + f.vms[0].ControllerAddr}, args...)...)
 	cmd.Env = append(os.Environ(), "CROCUSGLADE_CREDENTIAL="+f.credential)
 	cmd.Stdout, cmd.Stderr = stdout, os.Stderr
-	if err := cmd.Run(); err != nil {
+	err := cmd.Run()
+	var exit *exec.ExitError
+	if errors.As(err, &exit) && exit.ExitCode() == ctl.ExitUnconfirmed {
+		return nil // awaitKey waits for the gateways
+	}
+	if err != nil {
 		return errors.Wrapf(err, "crocusgladectl %s", args[0])
 	}
 	return nil
 }
 
+// awaitKey waits until all gateways accept a key, since configuration takes up to seconds to be in force.
+func (f *fleet) awaitKey(ctx context.Context, key string) error {
+	limited, cancel := context.WithTimeout(ctx, f.settings.StartLimit)
+	defer cancel()
+	for _, vm := range f.vms {
+		for !f.accepts(limited, vm.GatewayAddr, key) {
+			select {
+			case <-limited.Done():
+				return errors.Errorf("gateway %s did not accept the new key in time; see its log", vm.Name)
+			case <-time.After(pollEvery):
+			}
+		}
+	}
+	return nil
+}
+
+// accepts says whether a gateway serves the sample model to the key's team.
+func (f *fleet) accepts(ctx context.Context, gateway, key string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+gateway+"/v1/models", nil)
+	if err != nil {
+		return false
+	}
+	request.Header.Set("Authorization", "Bearer "+key)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return err == nil && response.StatusCode == http.StatusOK && bytes.Contains(body, []byte("logreader"))
+}
+
 // printCurl prints a line that sends a request by hand.
 func (f *fleet) printCurl(key string) {
 	fmt.Printf("\ntry it:\n  curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' "+
