controller: collector, provider directory, Load server and the gateways' load subscriber

Gateways had no source for endpoints, load and cache events.

- Directory joins configured endpoints with the provider's list; two controllers per pool read the provider and the others follow them.
Collector polls load every 500 ms and follows cache events, one collecting controller for each endpoint.
Load.Subscribe sends numbered deltas.
- A gateway that can't reach a controller names it to the others, which then collect its share (LoadRequest.without), because the VM list lags.
- Ruled out: a blank first report from a new collector (it carries an age of an hour, so the former report stays).

--- /dev/null
+++ b/internal/controller/collector.go
@@ -0,0 +1,297 @@
+package controller
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"crocusglade.example/crocusglade/internal/config"
+	"crocusglade.example/crocusglade/internal/membership"
+	"crocusglade.example/crocusglade/internal/peer/peerpb"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+const (
+	// loadPeriod is the time between two reads of an endpoint's load.
+	loadPeriod = 500 * time.Millisecond
+	// loadTimeout bounds one read.
+	loadTimeout = 2 * time.Second
+	// reconcilePeriod is the time between two looks at which endpoints this controller collects.
+	reconcilePeriod = time.Second
+	// maxCacheBacklog bounds the cache events that wait for slow subscribers, per endpoint.
+	maxCacheBacklog = 256
+)
+
+// Collector polls the load of the endpoints that this controller collects and keeps the last report of each.
+type Collector struct {
+	self      string
+	holder    *config.Holder
+	members   *membership.Members
+	directory *Directory
+	client    EndpointClient
+
+	mu sync.Mutex
+	// seq numbers the changes of all reports, so that a subscriber needs one number only.
+	seq     uint64
+	reports map[string]*report
+	// gone holds the change at which an endpoint left.
+	gone map[string]uint64
+	// without counts the subscribers that can't reach a VM's controller.
+	without map[string]int
+	changed chan struct{}
+}
+
+// report is what is known of one collected endpoint.
+type report struct {
+	endpoint world.Endpoint
+	// own holds the endpoint's figures, load what is sent of them together with the provider's state.
+	own, load *peerpb.EndpointLoad
+	numbered  time.Time
+	at        time.Time
+	seq       uint64
+	cancel    context.CancelFunc
+	// cache holds the last cache events; lost is the change before which events were dropped.
+	cache []cacheChange
+	lost  uint64
+	next  uint64
+}
+
+type cacheChange struct {
+	seq             uint64
+	stored, removed []uint64
+}
+
+// NewCollector returns a collector for the controller on VM self.
+func NewCollector(self string, h *config.Holder, m *membership.Members, d *Directory, c EndpointClient) *Collector {
+	return &Collector{self: self, holder: h, members: m, directory: d, client: c, reports: make(map[string]*report),
+		gone: make(map[string]uint64), without: make(map[string]int), changed: make(chan struct{})}
+}
+
+// Run collects until ctx ends, with one goroutine for the load and one for the cache events of each endpoint.
+func (c *Collector) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	ticker := time.NewTicker(reconcilePeriod)
+	defer ticker.Stop()
+	for {
+		c.reconcile(ctx, &wg)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// reconcile starts and stops the collection of endpoints. An endpoint that another controller collects is dropped silently; one
+// that exists no more is reported as gone.
+func (c *Collector) reconcile(ctx context.Context, wg *sync.WaitGroup) {
+	all := make(map[string]world.Endpoint)
+	for pool := range c.holder.Current().Pools() {
+		for name, e := range c.directory.Endpoints(pool) {
+			if e.Addr != "" && e.State != world.EndpointGone {
+				all[name] = e
+			}
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	without := make([]string, 0, len(c.without))
+	for vm := range c.without {
+		if vm != c.self {
+			without = append(without, vm)
+		}
+	}
+	for name, r := range c.reports {
+		e, exists := all[name]
+		if exists && c.collects(name, without) && e.Addr == r.endpoint.Addr {
+			continue
+		}
+		r.cancel()
+		delete(c.reports, name)
+		if !exists {
+			c.seq++
+			c.gone[name] = c.seq
+			c.wake()
+		}
+	}
+	for name, e := range all {
+		if !c.collects(name, without) {
+			continue
+		}
+		delete(c.gone, name)
+		if r, ok := c.reports[name]; ok {
+			if r.endpoint != e {
+				r.endpoint = e
+				c.update(r, r.own)
+			}
+			continue
+		}
+		endpointCtx, cancel := context.WithCancel(ctx)
+		r := &report{endpoint: e, cancel: cancel}
+		c.reports[name] = r
+		c.update(r, nil)
+		wg.Go(func() { c.pollLoad(endpointCtx, r, e) })
+		wg.Go(func() { c.readCache(endpointCtx, r, e) })
+	}
+}
+
+func (c *Collector) collects(endpoint string, without []string) bool {
+	vm, ok := c.members.Collector(endpoint, without...)
+	return ok && vm.Name == c.self
+}
+
+func (c *Collector) pollLoad(ctx context.Context, r *report, e world.Endpoint) {
+	pause(ctx, rand.N(loadPeriod))
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, loadTimeout)
+		l, err := c.client.Load(callCtx, e)
+		cancel()
+		if err == nil && ctx.Err() == nil {
+			c.mu.Lock()
+			r.at = time.Now().Add(-time.Duration(l.AgeMS) * time.Millisecond)
+			c.update(r, loadMessage(l))
+			c.mu.Unlock()
+		}
+		pause(ctx, loadPeriod)
+	}
+}
+
+// update computes a report from the endpoint's own figures and numbers it if anything but its age has changed, or its last number
+// is old. The caller holds the lock.
+func (c *Collector) update(r *report, own *peerpb.EndpointLoad) {
+	if own == nil {
+		own = &peerpb.EndpointLoad{}
+	}
+	r.own = own
+	e := r.endpoint
+	l := proto.Clone(own).(*peerpb.EndpointLoad)
+	l.Name, l.Pool, l.Addr, l.FailureDomain, l.Class = e.Name, e.Pool, e.Addr, e.FailureDomain, string(e.Class)
+	l.State, l.ReclaimAt = string(e.State), e.ReclaimAt
+	l.NoNewWork = own.NoNewWork || !takesWork(e)
+	if r.load != nil && proto.Equal(l, r.load) && time.Since(r.numbered) < refreshPeriod {
+		return
+	}
+	r.load, r.numbered = l, time.Now()
+	c.seq++
+	r.seq = c.seq
+	c.wake()
+}
+
+// refreshPeriod is the time after which an unchanged report is sent again, because its age matters to the balancer.
+const refreshPeriod = 2 * time.Second
+
+// noReportAge is the age of an endpoint that has not reported to this collector yet, so that the report of its former collector
+// stays in use meanwhile.
+const noReportAge = time.Hour
+
+// takesWork tells whether the provider's state allows new work.
+func takesWork(e world.Endpoint) bool {
+	return (e.State == world.EndpointReady || e.State == "") && e.ReclaimAt == 0
+}
+
+func loadMessage(l world.Load) *peerpb.EndpointLoad {
+	return &peerpb.EndpointLoad{NoNewWork: l.Changing || l.Draining, Role: string(l.Role), Model: l.Model, Version: l.Version,
+		Running: int32(l.Running), Waiting: int32(l.Waiting), QueuedPrefillTokens: int64(l.QueuedPrefillTokens), KvFree: int32(l.KVFree),
+		KvTotal: int32(l.KVTotal), PrefillRate: l.PrefillRate, DecodeRate: l.DecodeRate, Slots: int32(l.Slots), Adapters: l.Adapters,
+		Instance: l.Instance}
+}
+
+// readCache follows an endpoint's cache events. A gap or a new stream resets what subscribers know.
+func (c *Collector) readCache(ctx context.Context, r *report, e world.Endpoint) {
+	for ctx.Err() == nil {
+		c.mu.Lock()
+		r.next = 0
+		c.mu.Unlock()
+		_ = c.client.CacheEvents(ctx, e, func(ev CacheEvent) { c.cacheEvent(r, ev) })
+		pause(ctx, followRetry)
+	}
+}
+
+func (c *Collector) cacheEvent(r *report, ev CacheEvent) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seq++
+	if ev.Seq != r.next || len(r.cache) >= maxCacheBacklog {
+		r.lost, r.cache = c.seq, nil
+	}
+	r.next = ev.Seq + 1
+	r.cache = append(r.cache, cacheChange{c.seq, ev.Stored, ev.Removed})
+	c.wake()
+}
+
+// wake tells subscribers of a change. The caller holds the lock.
+func (c *Collector) wake() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// since returns what changed after a number, limited to pools, the number that it reaches, and a channel that is closed at the
+// next change.
+func (c *Collector) since(seq uint64, pools []string) (*peerpb.LoadUpdate, uint64, <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	u := &peerpb.LoadUpdate{}
+	for _, r := range c.reports {
+		if len(pools) > 0 && !slices.Contains(pools, r.endpoint.Pool) {
+			continue
+		}
+		if m := r.since(seq); m != nil {
+			u.Endpoints = append(u.Endpoints, m)
+		}
+	}
+	for name, at := range c.gone {
+		if at > seq {
+			u.Gone = append(u.Gone, name)
+		}
+	}
+	return u, c.seq, c.changed
+}
+
+func (r *report) since(seq uint64) *peerpb.EndpointLoad {
+	last := r.seq
+	if n := len(r.cache); n > 0 {
+		last = max(last, r.cache[n-1].seq)
+	}
+	if last <= seq {
+		return nil
+	}
+	m := proto.Clone(r.load).(*peerpb.EndpointLoad)
+	m.AgeMs = noReportAge.Milliseconds()
+	if !r.at.IsZero() {
+		m.AgeMs = time.Since(r.at).Milliseconds()
+	}
+	m.CacheReset = r.lost > seq
+	m.CacheStored, m.CacheRemoved = r.cacheSince(seq)
+	return m
+}
+
+// cacheSince returns the net effect of the cache events after a number; the last event of a block counts.
+func (r *report) cacheSince(seq uint64) (stored, removed []uint64) {
+	last := make(map[uint64]bool)
+	for _, change := range r.cache {
+		if change.seq <= seq {
+			continue
+		}
+		for _, block := range change.stored {
+			last[block] = true
+		}
+		for _, block := range change.removed {
+			last[block] = false
+		}
+	}
+	for block, kept := range last {
+		if kept {
+			stored = append(stored, block)
+		} else {
+			removed = append(removed, block)
+		}
+	}
+	return stored, removed
+}
--- /dev/null
+++ b/internal/controller/directory.go
@@ -0,0 +1,231 @@
+package controller
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"crocusglade.example/crocusglade/internal/config"
+	"crocusglade.example/crocusglade/internal/membership"
+	"crocusglade.example/crocusglade/internal/peer/peerpb"
+	"crocusglade.example/crocusglade/internal/platform"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+const (
+	// providerPeriod is the time between two reads of the provider's list of a pool by one of its two pollers. A reclaim
+	// notice is a few seconds long.
+	providerPeriod = 2 * time.Second
+	// providerTimeout bounds one read.
+	providerTimeout = 5 * time.Second
+	// followRetry is the wait before a lost stream from a poller is set up again.
+	followRetry = time.Second
+)
+
+// Directory knows the endpoints of all pools: those in the configuration and those that the provider lists. It reads the provider for
+// the pools that this VM polls and follows a poller for the others. The last list is kept in an outage.
+type Directory struct {
+	self     string
+	holder   *config.Holder
+	members  *membership.Members
+	provider platform.Provider
+	dial     config.Dial
+
+	mu      sync.Mutex
+	lists   map[string]providerList
+	changed chan struct{}
+}
+
+type providerList struct {
+	version   uint64
+	endpoints []world.Endpoint
+	at        time.Time
+}
+
+// NewDirectory returns a directory without provider lists.
+func NewDirectory(self string, h *config.Holder, m *membership.Members, p platform.Provider, dial config.Dial) *Directory {
+	return &Directory{self: self, holder: h, members: m, provider: p, dial: dial,
+		lists: make(map[string]providerList), changed: make(chan struct{})}
+}
+
+// Run keeps the lists current until ctx ends, with one goroutine for each pool.
+func (d *Directory) Run(ctx context.Context) error {
+	running := make(map[string]context.CancelFunc)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		pools := d.holder.Current().Pools()
+		for name := range pools {
+			if running[name] == nil {
+				poolCtx, cancel := context.WithCancel(ctx)
+				running[name] = cancel
+				wg.Go(func() { d.keep(poolCtx, name) })
+			}
+		}
+		for name, cancel := range running {
+			if pools[name] == nil {
+				cancel()
+				delete(running, name)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			for _, cancel := range running {
+				cancel()
+			}
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// keep keeps the list of one pool current.
+func (d *Directory) keep(ctx context.Context, pool string) {
+	for try := 0; ctx.Err() == nil; try++ {
+		pollers := d.members.Pollers(pool)
+		if slices.ContainsFunc(pollers, func(vm world.VM) bool { return vm.Name == d.self }) {
+			d.poll(ctx, pool)
+			pause(ctx, providerPeriod*3/4+rand.N(providerPeriod/2))
+			continue
+		}
+		if len(pollers) > 0 {
+			_ = d.follow(ctx, pollers[try%len(pollers)], pool)
+		}
+		pause(ctx, followRetry)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+func (d *Directory) poll(ctx context.Context, pool string) {
+	ctx, cancel := context.WithTimeout(ctx, providerTimeout)
+	defer cancel()
+	asked := time.Now()
+	v, err := d.provider.Endpoints(ctx, pool)
+	if err != nil {
+		return
+	}
+	d.store(pool, providerList{v.Version, v.Endpoints, asked})
+}
+
+// store keeps a list unless a newer version is known.
+func (d *Directory) store(pool string, l providerList) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old := d.lists[pool]
+	if l.version < old.version {
+		return
+	}
+	d.lists[pool] = l
+	if !slices.Equal(old.endpoints, l.endpoints) || l.version != old.version {
+		close(d.changed)
+		d.changed = make(chan struct{})
+	}
+}
+
+// follow takes the list from a VM that polls the provider, until that fails or is silent.
+func (d *Directory) follow(ctx context.Context, vm world.VM, pool string) error {
+	conn, release, err := d.dial(vm)
+	if err != nil {
+		return err
+	}
+	defer release()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(loadSilence, cancel)
+	defer silence.Stop()
+	stream, err := peerpb.NewLoadClient(conn).Endpoints(ctx, &peerpb.EndpointsRequest{Pools: []string{pool}})
+	if err != nil {
+		return err
+	}
+	for {
+		u, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		silence.Reset(loadSilence)
+		if u.Pool != pool {
+			continue
+		}
+		l := providerList{version: u.ProviderVersion, at: time.Now().Add(-time.Duration(u.AgeMs) * time.Millisecond)}
+		for _, e := range u.Endpoints {
+			l.endpoints = append(l.endpoints, world.Endpoint{Name: e.Name, Pool: pool, Addr: e.Addr, FailureDomain: e.FailureDomain,
+				Class: world.EndpointClass(e.Class), State: world.EndpointState(e.State), ChecksFence: e.ChecksFence,
+				ReclaimAt: e.ReclaimAt, LastCleaned: e.LastCleaned})
+		}
+		d.store(pool, l)
+	}
+}
+
+// Endpoints returns the endpoints of a pool by name: the configured ones, with the provider's state where it lists them, and the
+// provider's others.
+func (d *Directory) Endpoints(pool string) map[string]world.Endpoint {
+	out := make(map[string]world.Endpoint)
+	if p := d.holder.Current().Pool(pool); p != nil {
+		for _, e := range p.Endpoints {
+			e.Pool, e.State = pool, world.EndpointReady
+			out[e.Name] = e
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, e := range d.lists[pool].endpoints {
+		e.Pool = pool
+		if own, ok := out[e.Name]; ok {
+			e.Addr, e.ChecksFence = own.Addr, own.ChecksFence
+		}
+		out[e.Name] = e
+	}
+	return out
+}
+
+// serve implements the server's side of Load.Endpoints: every list on change, and once a second as a heartbeat.
+func (d *Directory) serve(r *peerpb.EndpointsRequest, stream grpc.ServerStreamingServer[peerpb.EndpointList]) error {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		lists, changed := d.messages(r.Pools)
+		for _, l := range lists {
+			if err := stream.Send(l); err != nil {
+				return err
+			}
+		}
+		select {
+		case <-stream.Context().Done():
+			return stream.Context().Err()
+		case <-changed:
+		case <-ticker.C:
+		}
+	}
+}
+
+func (d *Directory) messages(pools []string) ([]*peerpb.EndpointList, <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []*peerpb.EndpointList
+	for pool, l := range d.lists {
+		if len(pools) > 0 && !slices.Contains(pools, pool) {
+			continue
+		}
+		m := &peerpb.EndpointList{Pool: pool, ProviderVersion: l.version, AgeMs: time.Since(l.at).Milliseconds()}
+		for _, e := range l.endpoints {
+			m.Endpoints = append(m.Endpoints, &peerpb.ProvidedEndpoint{Name: e.Name, Addr: e.Addr, FailureDomain: e.FailureDomain,
+				Class: string(e.Class), State: string(e.State), ChecksFence: e.ChecksFence, ReclaimAt: e.ReclaimAt, LastCleaned: e.LastCleaned})
+		}
+		out = append(out, m)
+	}
+	return out, d.changed
+}
--- /dev/null
+++ b/internal/controller/load_test.go
@@ -0,0 +1,196 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/test/bufconn"
+
+	"crocusglade.example/crocusglade/internal/balancer"
+	"crocusglade.example/crocusglade/internal/config"
+	"crocusglade.example/crocusglade/internal/membership"
+	"crocusglade.example/crocusglade/internal/peer/peerpb"
+	"crocusglade.example/crocusglade/internal/platform/memplatform"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+// fakeEndpoints answers loads and counts the calls for each endpoint.
+type fakeEndpoints struct {
+	mu    sync.Mutex
+	calls map[string]int
+}
+
+func (f *fakeEndpoints) Load(_ context.Context, e world.Endpoint) (world.Load, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls[e.Name]++
+	return world.Load{Running: 3, Instance: "i", AgeMS: 20}, nil
+}
+
+func (f *fakeEndpoints) CacheEvents(ctx context.Context, _ world.Endpoint, handle func(CacheEvent)) error {
+	handle(CacheEvent{Seq: 0, Stored: []uint64{1, 2}})
+	handle(CacheEvent{Seq: 1, Removed: []uint64{1}})
+	handle(CacheEvent{Seq: 5, Stored: []uint64{7}})
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (f *fakeEndpoints) take() map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	calls := f.calls
+	f.calls = map[string]int{}
+	return calls
+}
+
+// fakeBalancer keeps what it was told.
+type fakeBalancer struct {
+	mu        sync.Mutex
+	endpoints map[string]balancer.Endpoint
+	blocks    map[string]map[uint64]bool
+}
+
+func (b *fakeBalancer) Update(pool string, e balancer.Endpoint) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.endpoints[pool+"/"+e.Name] = e
+}
+func (b *fakeBalancer) Remove(pool, name string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.endpoints, pool+"/"+name)
+}
+func (b *fakeBalancer) CacheEvent(e string, stored, removed []uint64, reset bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.blocks[e] == nil || reset {
+		b.blocks[e] = map[uint64]bool{}
+	}
+	for _, s := range stored {
+		b.blocks[e][s] = true
+	}
+	for _, r := range removed {
+		delete(b.blocks[e], r)
+	}
+}
+func (b *fakeBalancer) get(name string) (balancer.Endpoint, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e, ok := b.endpoints[name]
+	return e, ok
+}
+
+func configure(h *config.Holder, kind, name string, v any) {
+	data, _ := json.Marshal(v)
+	r := h.Current().Revision() + 1
+	h.Apply([]world.Event{{Revision: r, Type: world.EventPut, Object: world.Object{Kind: kind, Name: name, Version: r, Data: data}}})
+}
+
+// Guards against endpoints without or with two collectors, a drained endpoint that still gets work, an ordered or removed endpoint that
+// the gateway does not learn of, and endpoints that nobody collects after a controller is killed.
+func TestLoadFromControllersToGateway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, h := memplatform.New(), config.NewHolder()
+		var vms []world.VM
+		for i := range 3 {
+			vms = append(vms, world.VM{Name: fmt.Sprintf("vm-%d", i), State: world.VMLive})
+		}
+		p.SetVMs(vms)
+		listeners := map[string]*bufconn.Listener{}
+		for _, vm := range vms {
+			listeners[vm.Name] = bufconn.Listen(1 << 16)
+		}
+		dial := func(vm world.VM) (grpc.ClientConnInterface, func(), error) {
+			l := listeners[vm.Name]
+			conn, err := grpc.NewClient("passthrough:///"+vm.Name, grpc.WithTransportCredentials(insecure.NewCredentials()),
+				grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) { return l.DialContext(ctx) }))
+			return conn, func() { conn.Close() }, err
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		defer wg.Wait()
+		defer cancel()
+		client := &fakeEndpoints{calls: map[string]int{}}
+		kill := map[string]func(){}
+		for _, vm := range vms {
+			members := membership.New(vm, p)
+			members.Refresh(ctx)
+			d := NewDirectory(vm.Name, h, members, p, dial)
+			c := NewCollector(vm.Name, h, members, d, client)
+			server := grpc.NewServer()
+			peerpb.RegisterLoadServer(server, &LoadServer{Collector: c, Directory: d})
+			vmCtx, stop := context.WithCancel(ctx)
+			wg.Go(func() { _ = server.Serve(listeners[vm.Name]) })
+			wg.Go(func() { _ = d.Run(vmCtx) })
+			wg.Go(func() { _ = c.Run(vmCtx) })
+			wg.Go(func() { <-vmCtx.Done(); server.Stop() })
+			kill[vm.Name] = stop
+		}
+		b := &fakeBalancer{endpoints: map[string]balancer.Endpoint{}, blocks: map[string]map[uint64]bool{}}
+		members := membership.New(vms[0], p)
+		members.Refresh(ctx)
+		s := NewLoadSubscriber("vm-0", h, members, dial, b)
+		pool := world.Pool{Name: "p", Kind: world.PoolEngine}
+		for i := range 6 {
+			pool.Endpoints = append(pool.Endpoints, world.Endpoint{Name: fmt.Sprintf("e%d", i), Addr: fmt.Sprintf("10.0.0.%d:1", i), Class: world.OnDemand})
+		}
+		configure(h, world.KindPool, "p", pool)
+		if _, ok := b.get("p/e0"); !ok {
+			t.Fatal("a configured endpoint is not known at once")
+		}
+		p.SetEndpoints("p", []world.Endpoint{{Name: "x", Addr: "10.0.1.1:1", State: world.EndpointReady, Class: world.Reclaimable}})
+		wg.Go(func() { _ = s.Run(ctx) })
+		time.Sleep(10 * time.Second)
+		client.take()
+		time.Sleep(10 * time.Second)
+		for name, n := range client.take() {
+			if n < 15 || n > 21 {
+				t.Errorf("%s was polled %d times in 10 s", name, n)
+			}
+		}
+		if e, ok := b.get("p/x"); !ok || e.Load.Running != 3 || e.NoNewWork || time.Since(e.ReportedAt) > 4*time.Second {
+			t.Fatalf("ordered endpoint: %+v, %v", e, ok)
+		}
+		b.mu.Lock()
+		got := maps.Clone(b.blocks["e1"])
+		b.mu.Unlock()
+		if len(got) != 1 || !got[7] {
+			t.Fatalf("blocks after a gap: %v", got)
+		}
+		pool.Drained = []string{"e0"}
+		configure(h, world.KindPool, "p", pool)
+		configure(h, world.KindOrders, "p", world.PoolOrders{Abandoned: []string{"e1"}, Drained: map[string]string{"e2": ""}})
+		for i := range 4 {
+			if e, _ := b.get(fmt.Sprintf("p/e%d", i)); e.NoNewWork != (i < 3) {
+				t.Errorf("e%d: no new work is %v", i, e.NoNewWork)
+			}
+		}
+		p.Reclaim("", 5*time.Second)
+		time.Sleep(4 * time.Second)
+		if e, _ := b.get("p/x"); !e.NoNewWork {
+			t.Error("a reclaimed endpoint gets new work")
+		}
+		p.SetEndpoints("p", nil)
+		time.Sleep(5 * time.Second)
+		if _, ok := b.get("p/x"); ok {
+			t.Error("a removed endpoint stays known")
+		}
+		kill["vm-1"]()
+		kill["vm-2"]()
+		time.Sleep(10 * time.Second)
+		client.take()
+		time.Sleep(5 * time.Second)
+		if calls := client.take(); len(calls) != 6 {
+			t.Errorf("after two controllers were killed only %v are collected", calls)
+		}
+	})
+}
