Wire the parts of gateway and controller

Cause: the daemons served health endpoints only. Change: internal/daemon constructs the node, the gateway with its neighbours, usage copies and answer fetching, and the controller with relay, collector, duties and administration. Ruled out: usage peers named by VM alone, because a restarted peer has lost its copies; the name carries the incarnation.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return settings.Report(os.Stderr, err)
 	}
-	part := daemon.Server(name, address, handler)
+	part := daemon.Server(name, address, nil, handler)
 	part.Drain = nil // watches and streams of a stand-in don't end by themselves
 	return daemon.Run(context.Background(), t, 0, []daemon.Part{part})
 }
--- /dev/null
+++ b/internal/daemon/controller.go
@@ -0,0 +1,318 @@
+package daemon
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"crocusglade.example/crocusglade/internal/balancer"
+	"crocusglade.example/crocusglade/internal/claim"
+	"crocusglade.example/crocusglade/internal/config"
+	"crocusglade.example/crocusglade/internal/controller"
+	"crocusglade.example/crocusglade/internal/duty"
+	"crocusglade.example/crocusglade/internal/endpoint"
+	"crocusglade.example/crocusglade/internal/lease"
+	"crocusglade.example/crocusglade/internal/peer/peerpb"
+	"crocusglade.example/crocusglade/internal/platform"
+	"crocusglade.example/crocusglade/internal/platform/httpplatform"
+	"crocusglade.example/crocusglade/internal/settings"
+	"crocusglade.example/crocusglade/internal/telemetry"
+	"crocusglade.example/crocusglade/internal/usage"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+// poolsEvery is how often the set of pools with an orders duty is compared with the configuration.
+const poolsEvery = time.Second
+
+// controllerNode is a controller with its connections to the rest of the system.
+type controllerNode struct {
+	*node
+	supply    *config.Supply
+	relay     *config.Relay
+	directory *controller.Directory
+	collector *controller.Collector
+	fleet     *fleetTable
+	endpoints *endpoint.Client
+}
+
+// ControllerParts constructs the parts of a controller.
+func ControllerParts(s *settings.Controller, t *telemetry.Telemetry) ([]Part, error) {
+	base, err := newNode(s.Node, t, world.VM{ControllerAddr: s.AdminAdvertise, ControllerPeerAddr: s.PeerAdvertise})
+	if err != nil {
+		return nil, err
+	}
+	adminTLS, err := loadTLS(s.AdminTLS)
+	if err != nil {
+		return nil, err
+	}
+	c := newControllerNode(base)
+	loads := controller.NewLoadSubscriber(s.VMName, c.holder, c.members, c.clients.DialController, c.fleet)
+	parts := append(c.parts(),
+		Part{Name: "configuration", Run: c.supply.Run},
+		Part{Name: "provider lists", Run: c.directory.Run},
+		Part{Name: "collector", Run: c.collector.Run},
+		Part{Name: "load", Run: loads.Run},
+		Part{Name: "orders", Run: c.runOrders},
+		Part{Name: "usage windows", Run: c.runUsage},
+		Part{Name: "claims", Run: c.runClaims},
+		Part{Name: "health check", Run: c.watchReadiness},
+		c.peerServer(func(r *grpc.Server) {
+			peerpb.RegisterConfigServer(r, c.relay)
+			peerpb.RegisterLoadServer(r, &controller.LoadServer{Collector: c.collector, Directory: c.directory})
+		}),
+	)
+	if adminTLS != nil {
+		parts = append(parts, Part{Name: "administration TLS", Run: adminTLS.Run})
+	}
+	return append(parts, c.administration(s, adminTLS)), nil
+}
+
+func newControllerNode(base *node) *controllerNode {
+	source := config.NewSource(base.platform, base.holder, base.freshness)
+	subscriber := config.NewSubscriber(base.settings.VMName, "controller", base.holder, base.freshness, base.members.Parents, base.clients.DialController)
+	c := &controllerNode{node: base, endpoints: endpoint.New(base.endpointOptions())}
+	c.supply = config.NewSupply(base.settings.VMName, base.members.All, source, subscriber)
+	c.relay = config.NewRelay(base.holder, base.freshness)
+	c.directory = controller.NewDirectory(base.settings.VMName, base.holder, base.members, base.platform, base.clients.DialController)
+	c.collector = controller.NewCollector(base.settings.VMName, base.holder, base.members, c.directory, &collectorClient{c.endpoints})
+	c.fleet = &fleetTable{holder: base.holder, directory: c.directory, reports: make(map[string]balancer.Endpoint)}
+	return c
+}
+
+// holderName is unique for each incarnation, as leases need.
+func (c *controllerNode) holderName() string { return c.settings.VMName + "." + c.incarnation }
+
+// runOrders runs one orders duty for each pool in the configuration.
+func (c *controllerNode) runOrders(ctx context.Context) error {
+	running := make(map[string]context.CancelFunc)
+	var duties sync.WaitGroup
+	defer duties.Wait()
+	ticker := time.NewTicker(poolsEvery)
+	defer ticker.Stop()
+	for {
+		pools := c.holder.Current().Pools()
+		for name := range pools {
+			if running[name] == nil {
+				poolCtx, cancel := context.WithCancel(ctx)
+				running[name] = cancel
+				duties.Go(func() { _ = c.orders(name).Run(poolCtx) })
+			}
+		}
+		for name, cancel := range running {
+			if pools[name] == nil {
+				cancel()
+				delete(running, name)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			for _, cancel := range running {
+				cancel()
+			}
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+func (c *controllerNode) orders(pool string) *duty.Orders {
+	return &duty.Orders{Pool: pool, Holder: c.holderName(), Store: c.platform, Fleet: c.fleet, Log: c.telemetry.Log,
+		NewProvider: func(a *lease.Authority) platform.Provider { return c.boundPlatform(a) },
+		NewPlanners: newPlanners}
+}
+
+// boundPlatform returns a platform client whose connections end with the authority.
+func (c *controllerNode) boundPlatform(a *lease.Authority) *httpplatform.Client {
+	p, err := httpplatform.New(c.settings.PlatformURL, httpplatform.Options{DialContext: a.DialContext})
+	if err != nil {
+		// The same URL was accepted at start.
+		panic(err)
+	}
+	return p
+}
+
+// runUsage seals and reports usage windows while it holds the lease.
+func (c *controllerNode) runUsage(ctx context.Context) error {
+	return duty.RunUsage(ctx, c.platform, c.holderName(), func(a *lease.Authority) {
+		sealer := &usage.Sealer{Store: c.platform, VMs: c.platform, Sink: c.boundPlatform(a), Collector: &windowCollector{c.node},
+			Holder: c.holderName(), WindowLength: int64(c.settings.WindowLength / time.Second)}
+		sealer.Run(a)
+	})
+}
+
+// runClaims reconciles claims that gateways left open while it holds the lease.
+func (c *controllerNode) runClaims(ctx context.Context) error {
+	store := claim.NewStore(claim.Options{Platform: c.platform, Log: c.telemetry.Log})
+	r := claim.Reconciler{Store: store, Incarnations: &incarnations{c.node},
+		Endpoints: claim.EndpointAsker{Client: c.endpoints, Addr: c.fleet.address}}
+	return duty.RunClaims(ctx, c.platform, c.holderName(), r, c.telemetry.Log)
+}
+
+// watchReadiness keeps /readyz and the metric of the configuration's age.
+func (c *controllerNode) watchReadiness(ctx context.Context) error {
+	ticker := time.NewTicker(readyEvery)
+	defer ticker.Stop()
+	for {
+		if c.holder.Current().Revision() > 0 || c.supply.Watching() {
+			c.telemetry.Health.Ready("configuration")
+		} else {
+			c.telemetry.Health.Pending("configuration", "the platform or a watching controller has not answered yet")
+		}
+		c.telemetry.Metrics.Config.Age(ctx, float64(c.freshness.AgeMS())/1000)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// collectorClient adapts the endpoint client. It implements controller.EndpointClient.
+type collectorClient struct{ client *endpoint.Client }
+
+// Load implements controller.EndpointClient.
+func (c *collectorClient) Load(ctx context.Context, e world.Endpoint) (world.Load, error) {
+	return c.client.Load(ctx, e.Addr)
+}
+
+// CacheEvents implements controller.EndpointClient.
+func (c *collectorClient) CacheEvents(ctx context.Context, e world.Endpoint, handle func(controller.CacheEvent)) error {
+	return c.client.CacheEvents(ctx, e.Addr, func(ev endpoint.CacheEvent) error {
+		handle(controller.CacheEvent{Seq: ev.Seq, Stored: ev.Stored, Removed: ev.Removed})
+		return nil
+	})
+}
+
+// fleetTable is the last report of each endpoint, joined with the directory. It implements duty.Fleet, and controller.Balancer to be fed.
+type fleetTable struct {
+	holder    *config.Holder
+	directory *controller.Directory
+
+	mu      sync.Mutex
+	reports map[string]balancer.Endpoint
+}
+
+// Update implements controller.Balancer.
+func (f *fleetTable) Update(_ string, e balancer.Endpoint) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reports[e.Name] = e
+}
+
+// Remove implements controller.Balancer.
+func (f *fleetTable) Remove(_, name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.reports, name)
+}
+
+// CacheEvent implements controller.Balancer. Planners don't use the cache.
+func (f *fleetTable) CacheEvent(string, []uint64, []uint64, bool) {}
+
+// Pool implements duty.Fleet.
+func (f *fleetTable) Pool(name string) (world.Pool, bool) {
+	p := f.holder.Current().Pool(name)
+	if p == nil {
+		return world.Pool{}, false
+	}
+	return *p, true
+}
+
+// Endpoints implements duty.Fleet.
+func (f *fleetTable) Endpoints(pool string) []duty.EndpointView {
+	listed := f.directory.Endpoints(pool)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make([]duty.EndpointView, 0, len(listed))
+	for name, e := range listed {
+		v := duty.EndpointView{Endpoint: e}
+		if r, ok := f.reports[name]; ok {
+			v.Load, v.ReportedAt = r.Load, r.ReportedAt
+		}
+		out = append(out, v)
+	}
+	return out
+}
+
+func (f *fleetTable) address(name string) (string, bool) {
+	for pool := range f.holder.Current().Pools() {
+		if e, ok := f.directory.Endpoints(pool)[name]; ok {
+			return e.Addr, e.Addr != ""
+		}
+	}
+	return "", false
+}
+
+// windowCollector closes windows at gateways. It implements usage.Collector.
+type windowCollector struct{ *node }
+
+// CollectWindow implements usage.Collector.
+func (c *windowCollector) CollectWindow(ctx context.Context, vm world.VM, window int64, holder string, fence uint64) (usage.Collected, error) {
+	client, err := c.clients.Gateway(vm)
+	if err != nil {
+		return usage.Collected{}, err
+	}
+	r, err := client.CollectWindow(ctx, &peerpb.CollectWindowRequest{Window: window, Holder: holder, Fence: fence})
+	if err != nil {
+		return usage.Collected{}, err
+	}
+	return usage.Collected{Incarnation: vm.Name + "." + r.Incarnation, Counters: usageCounters(r.Counters)}, nil
+}
+
+// incarnations asks gateways about themselves. It implements claim.Incarnations. Gateways are named "<vm>.<incarnation>".
+type incarnations struct{ *node }
+
+// Gone implements claim.Incarnations.
+func (i *incarnations) Gone(ctx context.Context, gateway string) (bool, error) {
+	name, incarnation, _ := strings.Cut(gateway, ".")
+	vm, ok := i.members.VM(name)
+	if !ok {
+		return true, nil
+	}
+	s, err := i.status(ctx, vm)
+	if err != nil {
+		return false, err
+	}
+	return s.Incarnation != incarnation, nil
+}
+
+// Owns implements claim.Incarnations.
+func (i *incarnations) Owns(ctx context.Context, gateway, attempt string) (bool, error) {
+	name, incarnation, _ := strings.Cut(gateway, ".")
+	vm, ok := i.members.VM(name)
+	if !ok {
+		return false, nil
+	}
+	s, err := i.status(ctx, vm)
+	if status.Code(err) == codes.Unavailable {
+		return true, nil
+	}
+	if err != nil {
+		return true, err
+	}
+	if s.Incarnation != incarnation {
+		return false, nil
+	}
+	for _, a := range s.Attempts {
+		if a == attempt {
+			return true, nil
+		}
+	}
+	return false, nil
+}
+
+func (i *incarnations) status(ctx context.Context, vm world.VM) (*peerpb.StatusResponse, error) {
+	client, err := i.clients.Gateway(vm)
+	if err != nil {
+		return nil, err
+	}
+	return client.GetStatus(ctx, &peerpb.StatusRequest{})
+}
+
+// newPlanners returns the planners of a term, in order of precedence.
+func newPlanners() []duty.Planner { return nil }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"os"
@@ -134,8 +135,8 @@
 	p.telemetry.Metrics.Drain.Ended(ctx, "process", time.Since(started).Seconds(), 0)
 }
 
-// Server returns a part that serves HTTP on an address. Its drain waits for requests in progress.
-func Server(name, address string, handler http.Handler) Part {
+// Server returns a part that serves HTTP on an address, over TLS unless config is nil. Its drain waits for requests in progress.
+func Server(name, address string, config *tls.Config, handler http.Handler) Part {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerLimit}
 	return Part{Name: name,
 		Run: func(ctx context.Context) error {
@@ -144,6 +145,9 @@
 				return errors.Wrap(err, "listen (check the address, and that no other process has it)")
 			}
 			defer context.AfterFunc(ctx, func() { _ = server.Close() })()
+			if config != nil {
+				listener = tls.NewListener(listener, config)
+			}
 			err = server.Serve(listener)
 			if errors.Is(err, http.ErrServerClosed) {
 				<-ctx.Done() // a drain closed the listener; the part ends with its context
--- /dev/null
+++ b/internal/daemon/gateway.go
@@ -0,0 +1,214 @@
+package daemon
+
+import (
+	"context"
+	"encoding/binary"
+	"hash/maphash"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"crocusglade.example/crocusglade/internal/admission"
+	"crocusglade.example/crocusglade/internal/auth"
+	"crocusglade.example/crocusglade/internal/balancer"
+	"crocusglade.example/crocusglade/internal/burn"
+	"crocusglade.example/crocusglade/internal/claim"
+	"crocusglade.example/crocusglade/internal/config"
+	"crocusglade.example/crocusglade/internal/controller"
+	"crocusglade.example/crocusglade/internal/endpoint"
+	"crocusglade.example/crocusglade/internal/gateway"
+	"crocusglade.example/crocusglade/internal/peer"
+	"crocusglade.example/crocusglade/internal/peer/peerpb"
+	"crocusglade.example/crocusglade/internal/retry"
+	"crocusglade.example/crocusglade/internal/settings"
+	"crocusglade.example/crocusglade/internal/telemetry"
+	"crocusglade.example/crocusglade/internal/usage"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+const (
+	// retryRatio is the number of retries allowed for each first try.
+	retryRatio = 0.1
+	// quarantineFor is how long a request that crashed endpoints is refused.
+	quarantineFor = 10 * time.Minute
+	// capacityEvery is how often admission learns of the pools' capacity.
+	capacityEvery = 250 * time.Millisecond
+	// readyEvery is how often readiness is looked at.
+	readyEvery = 100 * time.Millisecond
+	// forgetUsageAfter is how long counters of closed windows are kept.
+	forgetUsageAfter = time.Hour
+)
+
+// gatewayNode is a gateway with its connections to the rest of the system.
+type gatewayNode struct {
+	*node
+	gateway    *gateway.Gateway
+	admission  *admission.Queue
+	balancer   *balancer.Balancer
+	quarantine *retry.Quarantine
+	ledger     *usage.Ledger
+	burn       *burn.Recorder
+	subscriber *config.Subscriber
+	mesh       *peer.Mesh
+	readiness  *peer.Readiness
+	neighbours *neighbours
+	entry      *entry
+}
+
+// GatewayParts constructs the parts of a gateway.
+func GatewayParts(s *settings.Gateway, t *telemetry.Telemetry) ([]Part, error) {
+	base, err := newNode(s.Node, t, world.VM{GatewayAddr: s.Advertise, GatewayPeerAddr: s.PeerAdvertise})
+	if err != nil {
+		return nil, err
+	}
+	callerTLS, err := loadTLS(s.CallerTLS)
+	if err != nil {
+		return nil, err
+	}
+	g := newGatewayNode(base, s)
+	loads := controller.NewLoadSubscriber(s.VMName, g.holder, g.members, g.clients.DialController, g.balancer)
+	parts := append(g.parts(),
+		Part{Name: "configuration", Run: g.subscriber.Run},
+		Part{Name: "neighbours", Run: g.mesh.Run},
+		Part{Name: "readiness", Run: g.readiness.Run},
+		Part{Name: "load", Run: loads.Run},
+		Part{Name: "usage", Run: g.ledger.Run},
+		Part{Name: "capacity", Run: g.keepCapacity},
+		Part{Name: "health check", Run: g.watchReadiness},
+		g.peerServer(func(r *grpc.Server) { peerpb.RegisterGatewayServer(r, g.peerService()) }),
+	)
+	if callerTLS != nil {
+		parts = append(parts, Part{Name: "caller TLS", Run: callerTLS.Run})
+	}
+	return append(parts, g.callers(s, callerTLS)), nil
+}
+
+func newGatewayNode(base *node, s *settings.Gateway) *gatewayNode {
+	g := &gatewayNode{node: base, admission: admission.New(), balancer: balancer.New(seed(base.incarnation)),
+		quarantine: retry.NewQuarantine(quarantineFor), burn: burn.NewRecorder(burn.DefaultObjective)}
+	g.admission.SetSelf(s.VMName)
+	g.holder.OnChange(g.configureAdmission)
+	g.neighbours = newNeighbours(g.admission, g.balancer, g.quarantine)
+	g.mesh = peer.NewMesh(s.VMName, g.incarnation, g.members, g.clients, g.holder, g.freshness, g.neighbours, g.neighbours)
+	g.subscriber = config.NewSubscriber(s.VMName, "gateway", g.holder, g.freshness, g.members.Parents, g.clients.DialController)
+	g.readiness = peer.NewReadiness(g.mesh, g.subscriber.Synced)
+	g.entry = &entry{self: g.self, members: g.members, mesh: g.mesh}
+	copier := &usageCopier{node: base, mesh: g.mesh}
+	g.ledger = usage.NewLedger(usage.Options{Incarnation: s.VMName + "." + g.incarnation, WindowLength: int64(s.WindowLength / time.Second),
+		Peers: copier.peers, Copier: copier})
+	claims := claim.NewStore(claim.Options{Platform: g.platform, Log: g.telemetry.Log})
+	g.gateway = gateway.New(gateway.Options{
+		VM: s.VMName, Incarnation: g.incarnation, Config: g.holder, Keyring: g.keyring, Admission: g.admission, Balancer: g.balancer,
+		Budget: retry.NewBudget(retryRatio), Quarantine: g.quarantine, Claims: claims, Usage: g.ledger, Members: g.entry,
+		Answers: &answerFetcher{node: base}, Endpoints: endpoint.New(g.endpointOptions()),
+		ContactLost: func() bool { return !g.mesh.InContact() }, OnDeath: g.neighbours.died, Observe: g.observe,
+		HandOver: claims.Flush, Log: g.telemetry.Log, EntryLifetime: s.EntryLifetime,
+	})
+	g.neighbours.draining = g.gateway.Draining
+	return g
+}
+
+// seed derives the seed of random choices from an incarnation, so that gateways differ.
+func seed(incarnation string) uint64 {
+	h := maphash.String(maphash.MakeSeed(), incarnation)
+	return h ^ binary.LittleEndian.Uint64([]byte(incarnation))
+}
+
+// callers returns the part that serves callers. Its drain cuts no request.
+func (g *gatewayNode) callers(s *settings.Gateway, t *auth.TLS) Part {
+	part := Server("callers", s.Listen, serverTLS(t, s.CallerTLS), g.gateway)
+	shutdown := part.Drain
+	part.Drain = func(ctx context.Context) error {
+		if err := g.gateway.Drain(ctx); err != nil {
+			return err
+		}
+		return shutdown(ctx)
+	}
+	return part
+}
+
+// configureAdmission passes weights and limits on to admission.
+func (g *gatewayNode) configureAdmission(s *config.Snapshot) {
+	teams := make(map[string]admission.TeamConfig, len(s.Teams()))
+	for name, t := range s.Teams() {
+		limits := t.Limits
+		if template := s.Template(t.Template); template != nil {
+			limits = limits.Or(template.Limits)
+		}
+		teams[name] = admission.TeamConfig{Weight: t.Weight, Limits: limits}
+	}
+	g.admission.SetTeams(teams)
+}
+
+// keepCapacity tells admission what this gateway may use of each pool.
+func (g *gatewayNode) keepCapacity(ctx context.Context) error {
+	ticker := time.NewTicker(capacityEvery)
+	defer ticker.Stop()
+	lastForget := time.Now()
+	for {
+		for pool := range g.holder.Current().Pools() {
+			concurrent, rate := g.balancer.Capacity(pool, len(g.entry.serving()))
+			g.admission.SetCapacity(pool, concurrent, rate)
+		}
+		if time.Since(lastForget) > forgetUsageAfter {
+			lastForget = time.Now()
+			g.ledger.Forget(lastForget.Add(-forgetUsageAfter).Unix())
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// watchReadiness keeps /readyz, the metrics of configuration age and the log of lost contact.
+func (g *gatewayNode) watchReadiness(ctx context.Context) error {
+	health := g.telemetry.Health
+	ticker := time.NewTicker(readyEvery)
+	defer ticker.Stop()
+	inContact := true
+	for {
+		if g.readiness.Ready() {
+			health.Ready("configuration")
+		} else {
+			health.Pending("configuration", "no configuration from a controller with a live watch yet")
+		}
+		if now := g.mesh.InContact(); now != inContact && g.readiness.Ready() {
+			inContact = now
+			g.telemetry.Log.Warn().Bool("in_contact", now).Msg("contact with platform and majority changed")
+		}
+		g.telemetry.Metrics.Config.Age(ctx, float64(g.freshness.AgeMS())/1000)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// observe counts a finished request for metrics and service-level burn. A request is good when its answer was whole and its first byte
+// came within the team's target.
+func (g *gatewayNode) observe(o gateway.Observation) {
+	ctx := context.Background()
+	target := world.DefaultFirstTokenTarget
+	if t := g.holder.Current().Team(o.Team); t != nil && t.FirstTokenTargetMS > 0 {
+		target = time.Duration(t.FirstTokenTargetMS) * time.Millisecond
+	}
+	if o.Kind != "" {
+		g.telemetry.Metrics.Admission.Refused(ctx, o.Team, string(o.Kind))
+	}
+	if o.Attempts > 1 {
+		g.telemetry.Metrics.Retry.Retried(ctx, o.Pool)
+	}
+	if o.Kind == "" {
+		g.telemetry.Metrics.Usage.Add(ctx, o.Team, int64(o.Usage.PromptTokens), int64(o.Usage.OutputTokens))
+	}
+	if callersFault(o.Status) {
+		return
+	}
+	g.burn.Record(o.Team, o.Route, o.Kind == "" && o.FirstByte <= target)
+}
+
+// callersFault tells whether an answer's status blames the caller; such requests burn no budget.
+func callersFault(status int) bool { return status >= 400 && status < 500 && status != 429 }
--- /dev/null
+++ b/internal/daemon/gateway_peers.go
@@ -0,0 +1,325 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"crocusglade.example/crocusglade/internal/admission"
+	"crocusglade.example/crocusglade/internal/balancer"
+	"crocusglade.example/crocusglade/internal/gateway"
+	"crocusglade.example/crocusglade/internal/membership"
+	"crocusglade.example/crocusglade/internal/peer"
+	"crocusglade.example/crocusglade/internal/peer/peerpb"
+	"crocusglade.example/crocusglade/internal/retry"
+	"crocusglade.example/crocusglade/internal/usage"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+// neighbours joins the decisions of this gateway with what its neighbours tell. It implements peer.Local and peer.Remote.
+type neighbours struct {
+	admission  *admission.Queue
+	balancer   *balancer.Balancer
+	quarantine *retry.Quarantine
+	draining   func() bool
+
+	mu     sync.Mutex
+	deaths []peer.Death
+	demand map[string]map[string]admission.Demand
+}
+
+func newNeighbours(a *admission.Queue, b *balancer.Balancer, q *retry.Quarantine) *neighbours {
+	return &neighbours{admission: a, balancer: b, quarantine: q, demand: make(map[string]map[string]admission.Demand)}
+}
+
+// PeerDemand implements peer.Local.
+func (n *neighbours) PeerDemand() map[string]*peerpb.TeamDemand {
+	own := n.admission.Demand()
+	out := make(map[string]*peerpb.TeamDemand, len(own))
+	for team, d := range own {
+		out[team] = &peerpb.TeamDemand{Team: team, TokensPerSecond: d.TokensPerSecond, RequestsPerSecond: d.RequestsPerSecond,
+			Concurrent: int32(d.Concurrent)}
+	}
+	return out
+}
+
+// TakeSends implements peer.Local.
+func (n *neighbours) TakeSends() map[string]balancer.Send { return n.balancer.TakeSends() }
+
+// PeerQuarantine implements peer.Local.
+func (n *neighbours) PeerQuarantine() map[uint64]time.Duration { return n.quarantine.Entries() }
+
+// TakeDeaths implements peer.Local.
+func (n *neighbours) TakeDeaths() []peer.Death {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := n.deaths
+	n.deaths = nil
+	return out
+}
+
+// Draining implements peer.Local.
+func (n *neighbours) Draining() bool { return n.draining() }
+
+// died tells neighbours that an endpoint died under a request.
+func (n *neighbours) died(fingerprint uint64, endpoint string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.deaths = append(n.deaths, peer.Death{Fingerprint: fingerprint, Endpoint: endpoint})
+}
+
+// NeighbourDemand implements peer.Remote. The message holds changed teams only.
+func (n *neighbours) NeighbourDemand(vm string, changed []*peerpb.TeamDemand) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	all := n.demand[vm]
+	if all == nil {
+		all = make(map[string]admission.Demand)
+		n.demand[vm] = all
+	}
+	for _, d := range changed {
+		all[d.Team] = admission.Demand{TokensPerSecond: d.TokensPerSecond, RequestsPerSecond: d.RequestsPerSecond, Concurrent: int(d.Concurrent)}
+		if all[d.Team] == (admission.Demand{}) {
+			delete(all, d.Team)
+		}
+	}
+	n.admission.SetPeerDemand(vm, all)
+}
+
+// NeighbourSend implements peer.Remote.
+func (n *neighbours) NeighbourSend(vm, endpoint string, promptTokens int64, requests int) {
+	n.balancer.PeerSend(vm, endpoint, promptTokens, requests)
+}
+
+// NeighbourQuarantine implements peer.Remote.
+func (n *neighbours) NeighbourQuarantine(fingerprint uint64, remaining time.Duration) {
+	n.quarantine.Add(fingerprint, remaining)
+}
+
+// NeighbourDeath implements peer.Remote.
+func (n *neighbours) NeighbourDeath(fingerprint uint64, endpoint string) {
+	n.quarantine.Death(fingerprint, endpoint)
+}
+
+// NeighbourGone implements peer.Remote.
+func (n *neighbours) NeighbourGone(vm string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.demand, vm)
+	n.admission.SetPeerDemand(vm, nil)
+}
+
+// entry answers which gateways serve callers. It implements gateway.Members.
+type entry struct {
+	self    world.VM
+	members *membership.Members
+	mesh    *peer.Mesh
+
+	mu   sync.Mutex
+	left bool
+}
+
+// Leave implements gateway.Members. Neighbours learn of it by the next exchange.
+func (e *entry) Leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.left = true
+}
+
+// serving returns the VMs whose gateways serve callers.
+func (e *entry) serving() []world.VM {
+	e.mu.Lock()
+	left := e.left
+	e.mu.Unlock()
+	var out []world.VM
+	if !left {
+		out = append(out, e.self)
+	}
+	for _, vm := range e.members.Neighbours() {
+		if e.mesh.Serving(vm.Name) {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+// Addresses implements gateway.Members. The order is random, and neighbouring addresses are in different failure domains where
+// possible, so that callers spread and their second try meets another domain.
+func (e *entry) Addresses() []string {
+	vms := e.serving()
+	rand.Shuffle(len(vms), func(i, j int) { vms[i], vms[j] = vms[j], vms[i] })
+	seen := make(map[string]int)
+	rank := make(map[string]int, len(vms))
+	for _, vm := range vms {
+		rank[vm.Name] = seen[vm.FailureDomain]
+		seen[vm.FailureDomain]++
+	}
+	slices.SortStableFunc(vms, func(a, b world.VM) int { return rank[a.Name] - rank[b.Name] })
+	out := make([]string, 0, len(vms))
+	for _, vm := range vms {
+		out = append(out, vm.GatewayAddr)
+	}
+	return out
+}
+
+// usageCopier copies counters to peers. Peers are named "<vm>@<incarnation>", so a restarted peer counts as a new one.
+type usageCopier struct {
+	node *node
+	mesh *peer.Mesh
+}
+
+func (c *usageCopier) peers() []string {
+	var alive []world.VM
+	for _, vm := range c.node.members.Neighbours() {
+		if c.mesh.Alive(vm.Name) {
+			alive = append(alive, vm)
+		}
+	}
+	var out []string
+	for _, vm := range usage.ChoosePeers(c.node.self, alive) {
+		out = append(out, vm.Name+"@"+c.mesh.Incarnation(vm.Name))
+	}
+	return out
+}
+
+// CopyUsage implements usage.Copier.
+func (c *usageCopier) CopyUsage(ctx context.Context, name string, counters []usage.Counter) ([]int64, error) {
+	vmName, _, _ := strings.Cut(name, "@")
+	vm, ok := c.node.members.VM(vmName)
+	if !ok {
+		return nil, errors.Errorf("VM %s has left the list", vmName)
+	}
+	client, err := c.node.clients.Gateway(vm)
+	if err != nil {
+		return nil, err
+	}
+	r, err := client.CopyUsage(ctx, &peerpb.CopyUsageRequest{Counters: usageMessages(counters)})
+	return r.GetClosed(), err
+}
+
+// peerService returns what this gateway serves to other processes.
+func (g *gatewayNode) peerService() *peer.Server {
+	local := &gatewayService{g}
+	return &peer.Server{VM: g.settings.VMName, Incarnation: g.incarnation, Holder: g.holder, Freshness: g.freshness, Mesh: g.mesh,
+		Usage: local, Answers: local, Status: local, Burn: local}
+}
+
+// gatewayService implements the interfaces of peer.Server.
+type gatewayService struct{ *gatewayNode }
+
+// CopyUsage implements peer.UsageStore.
+func (s *gatewayService) CopyUsage(counters []*peerpb.Usage) []int64 {
+	return s.ledger.Accept(usageCounters(counters))
+}
+
+// CollectWindow implements peer.UsageStore.
+func (s *gatewayService) CollectWindow(_ context.Context, window int64, _ string, _ uint64) ([]*peerpb.Usage, error) {
+	return usageMessages(s.ledger.Close(window)), nil
+}
+
+// FetchAnswer implements peer.Answers.
+func (s *gatewayService) FetchAnswer(ctx context.Context, requestID, team string, offset int64, send func(*peerpb.AnswerChunk) error) error {
+	err := s.gateway.Answer(ctx, team, requestID, offset, func(p gateway.AnswerPart) error {
+		return send(&peerpb.AnswerChunk{Data: p.Data, ContentType: p.ContentType, Status: int32(p.Status), Whole: p.Whole, Found: true})
+	})
+	if errors.Is(err, gateway.ErrAnswerUnknown) {
+		return send(&peerpb.AnswerChunk{})
+	}
+	return err
+}
+
+// PeerStatus implements peer.StatusSource.
+func (s *gatewayService) PeerStatus() *peerpb.StatusResponse {
+	return &peerpb.StatusResponse{Draining: s.gateway.Draining(), Ready: s.readiness.Ready(), InFlight: int32(s.gateway.InFlight()),
+		Attempts: s.gateway.Attempts()}
+}
+
+// PeerBurn implements peer.BurnSource.
+func (s *gatewayService) PeerBurn() []*peerpb.BurnSeries {
+	var out []*peerpb.BurnSeries
+	for _, series := range s.burn.Series() {
+		m := &peerpb.BurnSeries{Team: series.Team, Route: series.Route, Objective: series.Objective}
+		for _, p := range series.Points {
+			m.Points = append(m.Points, &peerpb.BurnPoint{Start: p.Start, Good: p.Good, Total: p.Total})
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+// answerFetcher fetches answers from other gateways. It implements gateway.AnswerFetcher.
+type answerFetcher struct{ *node }
+
+// FetchAnswer implements gateway.AnswerFetcher.
+func (f *answerFetcher) FetchAnswer(ctx context.Context, vmName, incarnation, team, requestID string, offset int64,
+	handle func(gateway.AnswerPart) error) error {
+	vm, ok := f.members.VM(vmName)
+	if !ok {
+		return gateway.ErrGatewayGone
+	}
+	client, err := f.clients.Gateway(vm)
+	if err != nil {
+		return err
+	}
+	stream, err := client.FetchAnswer(ctx, &peerpb.FetchAnswerRequest{RequestId: requestID, Team: team, Offset: offset})
+	if err != nil {
+		return err
+	}
+	for first := true; ; first = false {
+		chunk, err := stream.Recv()
+		if err != nil {
+			return f.fetchError(ctx, client, incarnation, err)
+		}
+		if first && !chunk.Found {
+			return f.absence(ctx, client, incarnation)
+		}
+		if err := handle(gateway.AnswerPart{Data: chunk.Data, ContentType: chunk.ContentType, Status: int(chunk.Status), Whole: chunk.Whole}); err != nil {
+			return err
+		}
+		if chunk.Whole {
+			return nil
+		}
+	}
+}
+
+// fetchError tells a gateway that is gone from other failures.
+func (f *answerFetcher) fetchError(ctx context.Context, client peerpb.GatewayClient, incarnation string, err error) error {
+	if status.Code(err) != codes.Unavailable {
+		return err
+	}
+	return f.absence(ctx, client, incarnation)
+}
+
+// absence returns why a gateway does not have an answer: it is another incarnation, it can't be reached, or it has forgotten it.
+func (f *answerFetcher) absence(ctx context.Context, client peerpb.GatewayClient, incarnation string) error {
+	s, err := client.GetStatus(ctx, &peerpb.StatusRequest{})
+	if status.Code(err) == codes.Unavailable || err == nil && s.Incarnation != incarnation {
+		return gateway.ErrGatewayGone
+	}
+	return gateway.ErrAnswerUnknown
+}
+
+func usageMessages(counters []usage.Counter) []*peerpb.Usage {
+	out := make([]*peerpb.Usage, 0, len(counters))
+	for _, c := range counters {
+		out = append(out, &peerpb.Usage{Incarnation: c.Incarnation, Window: c.Window, Team: c.Team, Requests: c.Usage.Requests,
+			PromptTokens: c.Usage.PromptTokens, OutputTokens: c.Usage.OutputTokens})
+	}
+	return out
+}
+
+func usageCounters(messages []*peerpb.Usage) []usage.Counter {
+	out := make([]usage.Counter, 0, len(messages))
+	for _, m := range messages {
+		out = append(out, usage.Counter{Incarnation: m.Incarnation, Window: m.Window, Team: m.Team,
+			Usage: world.Usage{Requests: m.Requests, PromptTokens: m.PromptTokens, OutputTokens: m.OutputTokens}})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/daemon/node.go
@@ -0,0 +1,131 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+
+	"crocusglade.example/crocusglade/internal/auth"
+	"crocusglade.example/crocusglade/internal/config"
+	"crocusglade.example/crocusglade/internal/endpoint"
+	"crocusglade.example/crocusglade/internal/membership"
+	"crocusglade.example/crocusglade/internal/peer"
+	"crocusglade.example/crocusglade/internal/platform/httpplatform"
+	"crocusglade.example/crocusglade/internal/settings"
+	"crocusglade.example/crocusglade/internal/telemetry"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+// incarnationLength is the number of characters of an incarnation's random name.
+const incarnationLength = 8
+
+// node holds what gateways and controllers have in common.
+type node struct {
+	settings    settings.Node
+	telemetry   *telemetry.Telemetry
+	incarnation string
+	self        world.VM
+	platform    *httpplatform.Client
+	members     *membership.Members
+	holder      *config.Holder
+	freshness   *config.Freshness
+	clients     *peer.Clients
+	keyring     *auth.Keyring
+	peerTLS     *auth.TLS
+	endpointTLS *auth.TLS
+}
+
+// newNode connects nothing yet. self carries the addresses of the calling role only; the platform's list has the others.
+func newNode(s settings.Node, t *telemetry.Telemetry, self world.VM) (*node, error) {
+	self.Name, self.Region, self.FailureDomain, self.State = s.VMName, s.Region, s.FailureDomain, world.VMLive
+	n := &node{settings: s, telemetry: t, incarnation: uuid.NewString()[:incarnationLength], self: self, holder: config.NewHolder(),
+		freshness: &config.Freshness{}, keyring: auth.NewKeyring([]byte(s.KeySecret))}
+	var err error
+	if n.platform, err = httpplatform.New(s.PlatformURL, httpplatform.Options{}); err != nil {
+		return nil, err
+	}
+	if n.peerTLS, err = loadTLS(s.PeerTLS); err != nil {
+		return nil, errors.Wrap(err, "peer TLS")
+	}
+	if n.endpointTLS, err = loadTLS(s.EndpointTLS); err != nil {
+		return nil, errors.Wrap(err, "endpoint TLS")
+	}
+	n.members = membership.New(self, n.platform)
+	n.clients = peer.NewClients(n.peerCredentials())
+	n.members.OnChange(func() { n.clients.Keep(n.members.All()) })
+	n.holder.OnChange(n.countChange)
+	return n, nil
+}
+
+func (n *node) countChange(s *config.Snapshot) {
+	ctx := context.Background()
+	n.telemetry.Metrics.Config.Applied(ctx, s.Revision())
+	n.telemetry.Metrics.Config.BadObjects(ctx, len(s.Bad()))
+}
+
+// peerCredentials returns mutual TLS towards other processes, or nil for plain TCP.
+func (n *node) peerCredentials() credentials.TransportCredentials {
+	if n.peerTLS == nil {
+		return nil
+	}
+	return credentials.NewTLS(n.peerTLS.ClientConfig(""))
+}
+
+// endpointOptions returns the options of clients for endpoints.
+func (n *node) endpointOptions() endpoint.Options {
+	var config *tls.Config
+	if n.endpointTLS != nil {
+		config = n.endpointTLS.ClientConfig("")
+	}
+	return endpoint.Options{TLS: config}
+}
+
+// parts returns the parts that both roles run.
+func (n *node) parts() []Part {
+	parts := []Part{health(n.settings, n.telemetry), {Name: "members", Run: n.members.Run}}
+	for name, t := range map[string]*auth.TLS{"peer TLS": n.peerTLS, "endpoint TLS": n.endpointTLS} {
+		if t != nil {
+			parts = append(parts, Part{Name: name, Run: t.Run})
+		}
+	}
+	return parts
+}
+
+// peerServer returns the part that serves gRPC to the system's other processes.
+func (n *node) peerServer(register func(*grpc.Server)) Part {
+	options := []grpc.ServerOption{grpc.MaxRecvMsgSize(peer.MaxMessageBytes)}
+	if n.peerTLS != nil {
+		options = append(options, grpc.Creds(credentials.NewTLS(n.peerTLS.ServerConfig(true))))
+	}
+	server := grpc.NewServer(options...)
+	register(server)
+	return Part{Name: "peers", Run: func(ctx context.Context) error {
+		listener, err := net.Listen("tcp", n.settings.PeerListen)
+		if err != nil {
+			return errors.Wrap(err, "listen for peers (check the address, and that no other process has it)")
+		}
+		defer context.AfterFunc(ctx, server.Stop)()
+		return server.Serve(listener)
+	}}
+}
+
+// serverTLS returns the TLS configuration of an HTTP server; nil means plain TCP.
+func serverTLS(t *auth.TLS, files settings.TLSFiles) *tls.Config {
+	if t == nil {
+		return nil
+	}
+	return t.ServerConfig(files.CA != "")
+}
+
+// loadTLS returns nil when no files are set.
+func loadTLS(f settings.TLSFiles) (*auth.TLS, error) {
+	if f == (settings.TLSFiles{}) {
+		return nil, nil
+	}
+	return auth.LoadTLS(auth.TLSFiles{Cert: f.Cert, Key: f.Key, CA: f.CA})
+}
--- a/internal/daemon/roles.go
+++ b/internal/daemon/roles.go
@@ -10,7 +10,7 @@
 
 // health returns the part that serves /metrics, /livez and /readyz. It has no drain: operators watch a stop with it.
 func health(s settings.Node, t *telemetry.Telemetry) Part {
-	part := Server("health", s.MetricsListen, t.Handler())
+	part := Server("health", s.MetricsListen, nil, t.Handler())
 	part.Drain = nil
 	return part
 }
@@ -20,16 +20,6 @@
 	return telemetry.Identity{Role: role, VMName: s.VMName, Region: s.Region, FailureDomain: s.FailureDomain}
 }
 
-// GatewayParts constructs the parts of a gateway. The caller-facing server, peers and configuration join here.
-func GatewayParts(s *settings.Gateway, t *telemetry.Telemetry) ([]Part, error) {
-	return []Part{health(s.Node, t)}, nil
-}
-
-// ControllerParts constructs the parts of a controller. Administration, relays and duties join here.
-func ControllerParts(s *settings.Controller, t *telemetry.Telemetry) ([]Part, error) {
-	return []Part{health(s.Node, t)}, nil
-}
-
 // Gateway runs `crocusgladed gateway` and returns the exit code.
 func Gateway(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	s, err := settings.LoadGateway(args, stdout)
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -68,12 +68,13 @@
 
 // neighbour is what is known of one VM that has exchanged messages.
 type neighbour struct {
-	heard      time.Time
-	revision   uint64
-	aheadSince time.Time
-	draining   bool
-	gone       bool
-	outbox     *outbox
+	heard       time.Time
+	revision    uint64
+	aheadSince  time.Time
+	draining    bool
+	gone        bool
+	outbox      *outbox
+	incarnation string
 }
 
 // Mesh exchanges updates with the neighbours of a gateway, with one conversation for each. The VM with the smaller name dials.
@@ -254,6 +255,7 @@
 	m.mu.Lock()
 	n := m.neighbour(u.Vm)
 	n.heard, n.revision, n.draining, n.gone = time.Now(), u.Revision, u.Draining, false
+	n.incarnation = u.Incarnation
 	if u.Revision <= own {
 		n.aheadSince = time.Time{}
 	} else if n.aheadSince.IsZero() {
@@ -351,3 +353,14 @@
 	n, ok := m.neighbours[vm]
 	return ok && time.Since(n.heard) <= d
 }
+
+// Incarnation returns the incarnation of a neighbour that was heard in the last 3 s, or "".
+func (m *Mesh) Incarnation(vm string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n, ok := m.neighbours[vm]
+	if !ok || time.Since(n.heard) > silentAfter {
+		return ""
+	}
+	return n.incarnation
+}
--- a/internal/world/config.go
+++ b/internal/world/config.go
@@ -3,7 +3,10 @@
 // and small derived values.
 package world
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Object kinds on the platform. The first group is operators' configuration and is relayed in snapshots;
 // the second group is the system's own and is not.
@@ -176,3 +179,13 @@
 	DefaultCleanEvery       = 168 * time.Hour
 	DefaultRouteTimeout     = 30 * time.Second
 )
+
+// Or returns the limits with zero fields taken from defaults.
+func (l Limits) Or(defaults Limits) Limits {
+	return Limits{
+		TokensPerSecond:   cmp.Or(l.TokensPerSecond, defaults.TokensPerSecond),
+		RequestsPerSecond: cmp.Or(l.RequestsPerSecond, defaults.RequestsPerSecond),
+		Concurrent:        cmp.Or(l.Concurrent, defaults.Concurrent),
+		MaxBodyBytes:      cmp.Or(l.MaxBodyBytes, defaults.MaxBodyBytes),
+	}
+}
