admin: administration API with conditional updates and confirmed withdrawals

Operators had no API.

PUT and DELETE are conditional; a conflict names the newer version. Objects are validated strictly, and one answer lists every mistake with its remedy. - A write whose answer is lost is repeated under the same condition, so it takes effect once; a conflict then is told apart by reading the object. Where that is impossible the error says that the write may have taken effect. - A withdrawal is acknowledged only when a majority of the live gateways has the key set's version in force (GetStatus names the object), and may be repeated. - Key ids begin with their shard, so a withdrawal reads one object. - Ruled out: re-reading alone after a lost answer (a lagging read would report a write that took effect as not done); confirmation by revision (a gateway that missed the event can still pass the revision).

--- /dev/null
+++ b/internal/controller/admin/admin_test.go
@@ -0,0 +1,304 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"crocusglade.example/crocusglade/internal/apierror"
+	"crocusglade.example/crocusglade/internal/auth"
+	"crocusglade.example/crocusglade/internal/config"
+	"crocusglade.example/crocusglade/internal/membership"
+	"crocusglade.example/crocusglade/internal/peer"
+	"crocusglade.example/crocusglade/internal/peer/peerpb"
+	"crocusglade.example/crocusglade/internal/platform"
+	"crocusglade.example/crocusglade/internal/platform/memplatform"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+// fakeGateway answers GetStatus from a holder, or not at all when cut off.
+type fakeGateway struct {
+	peerpb.GatewayClient
+	holder *config.Holder
+	cut    bool
+}
+
+func (g *fakeGateway) GetStatus(ctx context.Context, r *peerpb.StatusRequest, _ ...grpc.CallOption) (*peerpb.StatusResponse, error) {
+	if g.cut {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	s := peer.Server{Holder: g.holder, Freshness: &config.Freshness{}}
+	return s.GetStatus(ctx, r)
+}
+
+type fixture struct {
+	platform *memplatform.Platform
+	gateways map[string]*fakeGateway
+	server   *Server
+	handler  http.Handler
+}
+
+// start returns an API over four live VMs whose gateways follow the platform.
+func start(t *testing.T) *fixture {
+	f := &fixture{platform: memplatform.New(), gateways: map[string]*fakeGateway{}}
+	var vms []world.VM
+	ctx, cancel := context.WithCancel(context.Background())
+	follow := func() *config.Holder {
+		h := config.NewHolder()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = f.platform.Watch(ctx, world.ConfigKinds, 0, func(e world.Event) error { h.Apply([]world.Event{e}); return nil })
+		}()
+		t.Cleanup(func() { cancel(); <-done })
+		return h
+	}
+	for i := range 4 {
+		name := fmt.Sprintf("vm-%d", i)
+		vms = append(vms, world.VM{Name: name, State: world.VMLive})
+		f.gateways[name] = &fakeGateway{holder: follow()}
+	}
+	f.platform.SetVMs(vms)
+	members := membership.New(vms[0], f.platform)
+	members.Refresh(ctx)
+	keyring := auth.NewKeyring([]byte("secret"))
+	f.server = &Server{Store: f.platform, Holder: follow(), Freshness: &config.Freshness{}, Members: members, Keyring: keyring,
+		Admins:  auth.NewAdministrators(keyring, "boot"),
+		Gateway: func(vm world.VM) (peerpb.GatewayClient, error) { return f.gateways[vm.Name], nil }}
+	f.handler = f.server.Handler()
+	return f
+}
+
+// call makes a request and returns status and body.
+func (f *fixture) call(credential, method, path, version, body string) (int, map[string]any) {
+	r := httptest.NewRequest(method, "/admin/v1"+path, strings.NewReader(body))
+	r.Header.Set("Authorization", "Bearer "+credential)
+	r.Header.Set("Content-Type", "application/json")
+	switch version {
+	case "":
+	case "*":
+		r.Header.Set("If-None-Match", "*")
+	default:
+		r.Header.Set("If-Match", `"`+version+`"`)
+	}
+	w := httptest.NewRecorder()
+	f.handler.ServeHTTP(w, r)
+	var out map[string]any
+	_ = json.Unmarshal(w.Body.Bytes(), &out)
+	return w.Code, out
+}
+
+func errorOf(body map[string]any) (kind, message string) {
+	e, _ := body["error"].(map[string]any)
+	kind, _ = e["type"].(string)
+	message, _ = e["message"].(string)
+	if remedy, _ := e["remedy"].(string); remedy == "" {
+		return "no remedy", message
+	}
+	return kind, message
+}
+
+// Guards against two operators who overwrite each other, and a conflict that does not name the newer version.
+func TestOperatorsRace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(t)
+		code, body := f.call("boot", "PUT", "/config/team/a", "*", `{"name":"a","template":"t"}`)
+		if code != 200 || body["version"] != 1.0 || body["gateways"] != 4.0 || body["confirmed"].(float64) < 3 {
+			t.Fatalf("create: %d %v", code, body)
+		}
+		if code, body = f.call("boot", "PUT", "/config/team/a", "1", `{"name":"a","template":"t","weight":2}`); code != 200 {
+			t.Fatalf("first operator: %d %v", code, body)
+		}
+		code, body = f.call("boot", "PUT", "/config/team/a", "1", `{"name":"a","template":"t","weight":3}`)
+		kind, message := errorOf(body)
+		if code != 412 || kind != string(apierror.PreconditionFailed) || !strings.Contains(message, "newer version 2") {
+			t.Fatalf("second operator: %d %v", code, body)
+		}
+		for _, bad := range []struct{ version, body string }{{"", `{"name":"a","template":"t"}`}, {"2", `{"name":"a"}`}, {"2", `{`}} {
+			if code, body = f.call("boot", "PUT", "/config/team/a", bad.version, bad.body); code != 400 {
+				t.Errorf("%v: %d %v", bad, code, body)
+			}
+		}
+		if code, body = f.call("boot", "DELETE", "/config/team/a", "2", ""); code != 200 || body["confirmed"].(float64) < 3 {
+			t.Fatalf("delete: %d %v", code, body)
+		}
+	})
+}
+
+// Guards against a withdrawal that is acknowledged while a majority still accepts the key, and one that a single cut-off gateway blocks.
+func TestWithdrawalNeedsMajority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(t)
+		f.call("boot", "PUT", "/config/team/a", "*", `{"name":"a","template":"t"}`)
+		code, issued := f.call("boot", "POST", "/keys", "", `{"team":"a"}`)
+		if code != 201 {
+			t.Fatalf("issue: %d %v", code, issued)
+		}
+		synctest.Wait()
+		key, id := "Bearer "+issued["key"].(string), issued["id"].(string)
+		snapshot := f.gateways["vm-1"].holder.Current
+		if _, err := f.server.Keyring.Authenticate(snapshot(), key); err != nil {
+			t.Fatal(err)
+		}
+		f.gateways["vm-2"].cut, f.gateways["vm-3"].cut = true, true
+		if code, body := f.call("boot", "DELETE", "/keys/"+id, "", ""); code != 503 {
+			t.Fatalf("acknowledged by two of four: %d %v", code, body)
+		}
+		f.gateways["vm-2"].cut = false
+		if code, body := f.call("boot", "DELETE", "/keys/"+id, "", ""); code != 200 || body["confirmed"] != 3.0 {
+			t.Fatalf("repeated with one gateway cut off: %d %v", code, body)
+		}
+		if _, err := f.server.Keyring.Authenticate(snapshot(), key); err == nil {
+			t.Fatal("the key still works")
+		}
+		if _, body := f.call("boot", "GET", "/keys?team=a", "", ""); strings.Contains(fmt.Sprint(body), f.server.Keyring.Hash(issued["key"].(string))) {
+			t.Fatal("the list shows the hash")
+		}
+	})
+}
+
+// Guards against writes whose answer is lost being reported as failed, applied twice or taken for another operator's.
+func TestLostAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(t)
+		f.platform.SetFaults(memplatform.Faults{LoseAnswers: 1})
+		if code, body := f.call("boot", "PUT", "/config/team/a", "*", `{"name":"a","template":"t"}`); code != 200 || body["version"] != 1.0 {
+			t.Fatalf("own write: %d %v", code, body)
+		}
+		f.platform.SetFaults(memplatform.Faults{LoseAnswers: 1})
+		f.server.Store = &racingStore{Store: f.platform}
+		if code, body := f.call("boot", "PUT", "/config/team/a", "1", `{"name":"a","template":"t","weight":2}`); code != 412 {
+			t.Fatalf("overwritten by another operator: %d %v", code, body)
+		}
+		f.server.Store = f.platform
+		f.platform.SetFaults(memplatform.Faults{LoseAnswers: 1})
+		_, issued := f.call("boot", "POST", "/keys", "", `{"team":"a"}`)
+		_, keys := f.call("boot", "GET", "/keys", "", "")
+		if n := len(keys["keys"].([]any)); n != 1 || issued["id"] == nil {
+			t.Fatalf("%d keys were issued: %v", n, issued)
+		}
+		f.platform.SetFaults(memplatform.Faults{LoseAnswers: 1})
+		if code, body := f.call("boot", "DELETE", "/config/team/a", "3", ""); code != 200 {
+			t.Fatalf("own deletion: %d %v", code, body)
+		}
+		f.platform.SetFaults(memplatform.Faults{Down: true})
+		code, body := f.call("boot", "PUT", "/config/team/b", "*", `{"name":"b","template":"t"}`)
+		if kind, _ := errorOf(body); code != 503 || kind != string(apierror.Unavailable) {
+			t.Fatalf("in an outage: %d %v", code, body)
+		}
+	})
+}
+
+// racingStore lets another operator write after each write whose answer was lost.
+type racingStore struct{ platform.Store }
+
+func (s *racingStore) Put(ctx context.Context, kind, name string, data []byte, expected uint64) (uint64, error) {
+	version, err := s.Store.Put(ctx, kind, name, data, expected)
+	if lost(err) {
+		o, _ := s.Store.Get(ctx, kind, name)
+		_, _ = s.Store.Put(ctx, kind, name, []byte(`{"name":"a","template":"other"}`), o.Version)
+	}
+	return version, err
+}
+
+// Guards against credentials that act outside their scopes or teams.
+func TestScopes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(t)
+		code, made := f.call("boot", "POST", "/credentials", "", `{"name":"clerk","scopes":["keys","config"],"teams":["a"]}`)
+		if code != 201 {
+			t.Fatalf("credential: %d %v", code, made)
+		}
+		for _, name := range []string{"a", "b"} {
+			f.call("boot", "PUT", "/config/team/"+name, "*", `{"name":"`+name+`","template":"t"}`)
+		}
+		time.Sleep(time.Second)
+		clerk := made["credential"].(string)
+		for _, c := range []struct {
+			credential, method, path, version, body string
+			code                                    int
+		}{
+			{"", "GET", "/status", "", "", 401},
+			{"wrong", "GET", "/status", "", "", 401},
+			{clerk, "GET", "/status", "", "", 200},
+			{clerk, "POST", "/keys", "", `{"team":"a"}`, 201},
+			{clerk, "POST", "/keys", "", `{"team":"b"}`, 403},
+			{clerk, "PUT", "/config/team/a", "2", `{"name":"a","template":"u"}`, 200},
+			{clerk, "PUT", "/config/team/b", "3", `{"name":"b","template":"u"}`, 403},
+			{clerk, "PUT", "/config/pool/p", "*", `{"name":"p","kind":"service"}`, 403},
+			{clerk, "POST", "/credentials", "", `{"name":"x","scopes":["admin"]}`, 403},
+			{clerk, "POST", "/endpoints/p/e/drain", "", "", 403},
+			{"boot", "GET", "/config/admin", "", "", 404},
+			{"boot", "PUT", "/config/team/open", "*", `{"name":"open","template":"u"}`, 400},
+			{"boot", "DELETE", "/credentials/clerk", "", "", 200},
+		} {
+			if code, body := f.call(c.credential, c.method, c.path, c.version, c.body); code != c.code {
+				t.Errorf("%s %s: %d instead of %d: %v", c.method, c.path, code, c.code, body)
+			}
+		}
+		time.Sleep(time.Second)
+		if code, _ := f.call(clerk, "GET", "/status", "", ""); code != 401 {
+			t.Errorf("withdrawn credential: %d", code)
+		}
+	})
+}
+
+// endpointList is a fixed list of one pool.
+type endpointList []string
+
+func (l endpointList) Endpoints(pool string) map[string]world.Endpoint {
+	out := map[string]world.Endpoint{}
+	for _, name := range l {
+		out[name] = world.Endpoint{Name: name, Pool: pool, State: world.EndpointReady}
+	}
+	return out
+}
+
+// Guards against drains of unknown endpoints, drains that lists don't show, and decisions about claims that a gateway still owns.
+func TestEndpointsAndClaims(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(t)
+		f.server.Endpoints = endpointList{"e1"}
+		f.call("boot", "PUT", "/config/pool/p", "*", `{"name":"p","kind":"service"}`)
+		if code, body := f.call("boot", "POST", "/endpoints/p/unknown/drain", "", ""); code != 404 {
+			t.Errorf("unknown endpoint: %d %v", code, body)
+		}
+		for path, drained := range map[string]bool{"drain": true, "return": false} {
+			if path == "return" {
+				f.call("boot", "POST", "/endpoints/p/e1/drain", "", "")
+			}
+			if code, body := f.call("boot", "POST", "/endpoints/p/e1/"+path, "", ""); code != 200 {
+				t.Errorf("%s: %d %v", path, code, body)
+			}
+			synctest.Wait()
+			_, body := f.call("boot", "GET", "/endpoints?pool=p", "", "")
+			if e := body["endpoints"].([]any)[0].(map[string]any); e["no_new_work"] != drained {
+				t.Errorf("after %s: %v", path, e)
+			}
+		}
+		shard, _ := json.Marshal(world.ClaimShard{Claims: map[string]world.Claim{"u": {Key: "u", State: world.ClaimUnresolved}, "c": {Key: "c", State: world.ClaimClaimed}}})
+		if _, err := f.platform.Put(context.Background(), world.KindClaims, "000", shard, 0); err != nil {
+			t.Fatal(err)
+		}
+		if _, body := f.call("boot", "GET", "/requests/unresolved", "", ""); len(body["claims"].([]any)) != 1 {
+			t.Errorf("unresolved: %v", body)
+		}
+		for key, want := range map[string]int{"u": 200, "c": 409, "x": 404} {
+			if code, body := f.call("boot", "POST", "/requests/"+key+"/resolve", "", `{"outcome":"not_run"}`); code != want {
+				t.Errorf("resolve %s: %d %v", key, code, body)
+			}
+		}
+		if code, body := f.call("boot", "GET", "/usage?from=x", "", ""); code != 400 {
+			t.Errorf("usage: %d %v", code, body)
+		}
+	})
+}
--- /dev/null
+++ b/internal/controller/admin/keys.go
@@ -0,0 +1,191 @@
+package admin
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"crocusglade.example/crocusglade/internal/apierror"
+	"crocusglade.example/crocusglade/internal/auth"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+// keyView is a key without its hash.
+type keyView struct {
+	ID          string `json:"id"`
+	Team        string `json:"team"`
+	IssuedAt    int64  `json:"issued_at"`
+	WithdrawnAt int64  `json:"withdrawn_at"`
+}
+
+func (s *Server) listKeys(c echo.Context) error {
+	team := c.QueryParam("team")
+	if err := require(c, auth.ScopeRead, team); err != nil {
+		return err
+	}
+	sets, err := list[world.KeySet](c.Request().Context(), s, world.KindKeySet)
+	if err != nil {
+		return err
+	}
+	keys := []keyView{}
+	for _, set := range sets {
+		for _, k := range set.Keys {
+			if team == "" || k.Team == team {
+				keys = append(keys, keyView{k.ID, k.Team, k.IssuedAt, k.WithdrawnAt})
+			}
+		}
+	}
+	slices.SortFunc(keys, func(a, b keyView) int { return strings.Compare(a.ID, b.ID) })
+	return c.JSON(http.StatusOK, map[string]any{"keys": keys})
+}
+
+// issueKey makes a key. Its id begins with its shard, so that a withdrawal finds it without reading all shards.
+func (s *Server) issueKey(c echo.Context) error {
+	var body struct {
+		Team string `json:"team"`
+	}
+	if err := bind(c, &body); err != nil {
+		return err
+	}
+	if err := require(c, auth.ScopeKeys, body.Team); err != nil {
+		return err
+	}
+	ctx := c.Request().Context()
+	if _, err := s.Store.Get(ctx, world.KindTeam, body.Team); err != nil {
+		return s.explain(ctx, world.KindTeam, body.Team, err)
+	}
+	key := auth.NewKey(body.Team)
+	hash := s.Keyring.Hash(key)
+	shard := auth.Shard(hash)
+	record := world.KeyRecord{ID: shard + "-" + randomID(), Hash: hash, Team: body.Team, IssuedAt: time.Now().UnixMilli()}
+	_, err := edit(ctx, s, world.KindKeySet, shard, true, func(set *world.KeySet) error {
+		if slices.ContainsFunc(set.Keys, func(k world.KeyRecord) bool { return k.ID == record.ID }) {
+			return errUnchanged
+		}
+		set.Keys = append(set.Keys, record)
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusCreated, map[string]string{"id": record.ID, "team": record.Team, "key": key})
+}
+
+func randomID() string {
+	var b [6]byte
+	rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+// withdrawKey withdraws a key and answers once a majority of the live gateways refuses it. It may be repeated.
+func (s *Server) withdrawKey(c echo.Context) error {
+	id := c.Param("id")
+	if err := c.Get(adminKey).(auth.Administrator).Require(auth.ScopeKeys); err != nil {
+		return err
+	}
+	shard, _, ok := strings.Cut(id, "-")
+	if !ok {
+		return notFound("key", id)
+	}
+	ctx := c.Request().Context()
+	version, err := edit(ctx, s, world.KindKeySet, shard, false, func(set *world.KeySet) error {
+		i := slices.IndexFunc(set.Keys, func(k world.KeyRecord) bool { return k.ID == id })
+		if i < 0 {
+			return notFound("key", id)
+		}
+		if err := require(c, auth.ScopeKeys, set.Keys[i].Team); err != nil {
+			return err
+		}
+		if set.Keys[i].WithdrawnAt != 0 {
+			return errUnchanged
+		}
+		set.Keys[i].WithdrawnAt = time.Now().UnixMilli()
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	confirmed := s.confirm(ctx, world.KindKeySet, shard, version)
+	if !confirmed.majority() {
+		return apierror.New(apierror.Unavailable, "repeat the call until a majority confirms",
+			"key %s is withdrawn on the platform, but only %d of %d live gateways have confirmed", id, confirmed.Confirmed, confirmed.Gateways).WithRun(apierror.Ran)
+	}
+	return c.JSON(http.StatusOK, struct {
+		ID string `json:"id"`
+		confirmation
+	}{id, confirmed})
+}
+
+type credentialView struct {
+	Name        string   `json:"name"`
+	Scopes      []string `json:"scopes"`
+	Teams       []string `json:"teams,omitempty"`
+	WithdrawnAt int64    `json:"withdrawn_at,omitempty"`
+}
+
+func (s *Server) listCredentials(c echo.Context) error {
+	if err := require(c, auth.ScopeAdmin, ""); err != nil {
+		return err
+	}
+	all, err := list[world.AdminCredential](c.Request().Context(), s, world.KindAdmin)
+	if err != nil {
+		return err
+	}
+	views := []credentialView{}
+	for _, a := range all {
+		views = append(views, credentialView{a.Name, a.Scopes, a.Teams, a.WithdrawnAt})
+	}
+	slices.SortFunc(views, func(a, b credentialView) int { return strings.Compare(a.Name, b.Name) })
+	return c.JSON(http.StatusOK, map[string]any{"credentials": views})
+}
+
+func (s *Server) makeCredential(c echo.Context) error {
+	if err := require(c, auth.ScopeAdmin, ""); err != nil {
+		return err
+	}
+	var body credentialView
+	if err := bind(c, &body); err != nil {
+		return err
+	}
+	secret := auth.NewAdminSecret(body.Name)
+	credential := &world.AdminCredential{Name: body.Name, Hash: s.Keyring.Hash(secret), Scopes: body.Scopes, Teams: body.Teams}
+	raw, err := world.MarshalObject(credential)
+	if err != nil {
+		return err
+	}
+	data, err := validated(world.KindAdmin, body.Name, raw)
+	if err != nil {
+		return err
+	}
+	if body.Name == auth.BootstrapName {
+		return apierror.New(apierror.InvalidRequest, "use another name", "the name %q is reserved", body.Name)
+	}
+	if _, err := s.write(c.Request().Context(), world.KindAdmin, body.Name, data, 0); err != nil {
+		return err
+	}
+	return c.JSON(http.StatusCreated, map[string]any{"name": body.Name, "scopes": body.Scopes, "teams": body.Teams, "credential": secret})
+}
+
+// withdrawCredential keeps the object, so that the name can't be given to another credential.
+func (s *Server) withdrawCredential(c echo.Context) error {
+	if err := require(c, auth.ScopeAdmin, ""); err != nil {
+		return err
+	}
+	ctx, name := c.Request().Context(), c.Param("name")
+	version, err := edit(ctx, s, world.KindAdmin, name, false, func(a *world.AdminCredential) error {
+		if a.WithdrawnAt != 0 {
+			return errUnchanged
+		}
+		a.WithdrawnAt = time.Now().UnixMilli()
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, writeResult{version, s.confirm(ctx, world.KindAdmin, name, version)})
+}
--- /dev/null
+++ b/internal/controller/admin/operations.go
@@ -0,0 +1,301 @@
+package admin
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+
+	"github.com/labstack/echo/v4"
+	"google.golang.org/grpc"
+
+	"crocusglade.example/crocusglade/internal/apierror"
+	"crocusglade.example/crocusglade/internal/auth"
+	"crocusglade.example/crocusglade/internal/controller"
+	"crocusglade.example/crocusglade/internal/peer/peerpb"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+// each calls f for the gateways of some VMs at once, with a time limit for each call, and waits for all.
+func (s *Server) each(ctx context.Context, vms []world.VM, f func(context.Context, int, peerpb.GatewayClient)) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for i, vm := range vms {
+		g, err := s.Gateway(vm)
+		if err != nil {
+			continue
+		}
+		wg.Go(func() {
+			callCtx, cancel := context.WithTimeout(ctx, statusTimeout)
+			defer cancel()
+			f(callCtx, i, g)
+		})
+	}
+}
+
+type gatewayView struct {
+	Reachable     bool   `json:"reachable"`
+	Ready         bool   `json:"ready"`
+	Draining      bool   `json:"draining"`
+	Revision      uint64 `json:"revision"`
+	PlatformAgeMS int64  `json:"platform_age_ms"`
+	InFlight      int32  `json:"in_flight"`
+}
+
+type vmView struct {
+	Name          string        `json:"name"`
+	FailureDomain string        `json:"failure_domain"`
+	State         world.VMState `json:"state"`
+	Gateway       gatewayView   `json:"gateway"`
+	Controller    struct {
+		Reachable bool `json:"reachable"`
+	} `json:"controller"`
+}
+
+type dutyView struct {
+	Name   string `json:"name"`
+	Holder string `json:"holder"`
+	Fence  uint64 `json:"fence"`
+}
+
+func (s *Server) status(c echo.Context) error {
+	ctx, now, vms := c.Request().Context(), s.Holder.Current(), s.Members.All()
+	views := make([]vmView, len(vms))
+	for i, vm := range vms {
+		views[i] = vmView{Name: vm.Name, FailureDomain: vm.FailureDomain, State: vm.State}
+	}
+	s.each(ctx, vms, func(ctx context.Context, i int, g peerpb.GatewayClient) {
+		if st, err := g.GetStatus(ctx, &peerpb.StatusRequest{}); err == nil {
+			views[i].Gateway = gatewayView{true, st.Ready, st.Draining, st.Revision, st.PlatformAgeMs, st.InFlight}
+		}
+	})
+	s.eachController(ctx, vms, func(ctx context.Context, i int, conn grpc.ClientConnInterface) {
+		views[i].Controller.Reachable = reachable(ctx, conn)
+	})
+	duties := []dutyView{}
+	// Status is most needed in an outage, so it is given without duties when the platform does not answer.
+	if leases, err := list[world.Lease](ctx, s, world.KindLease); err == nil {
+		for _, name := range slices.Sorted(maps.Keys(leases)) {
+			duties = append(duties, dutyView{name, leases[name].Holder, leases[name].Fence})
+		}
+	}
+	return c.JSON(http.StatusOK, map[string]any{"revision": now.Revision(), "platform_age_ms": s.Freshness.AgeMS(), "vms": views,
+		"duties": duties, "bad_objects": now.Bad()})
+}
+
+type endpointView struct {
+	world.Endpoint
+	NoNewWork bool   `json:"no_new_work"`
+	Reason    string `json:"reason,omitempty"`
+	// Load is the last report, absent when there is none.
+	Load *world.Load `json:"load,omitempty"`
+}
+
+func (s *Server) listEndpoints(c echo.Context) error {
+	now, views := s.Holder.Current(), []endpointView{}
+	loads := s.loads(c.Request().Context(), c.QueryParam("pool"))
+	for _, pool := range slices.Sorted(maps.Keys(now.Pools())) {
+		if want := c.QueryParam("pool"); want != "" && want != pool || s.Endpoints == nil {
+			continue
+		}
+		all := s.Endpoints.Endpoints(pool)
+		for _, name := range slices.Sorted(maps.Keys(all)) {
+			v := endpointView{Endpoint: all[name], Reason: controller.Drained(now, pool, name)}
+			if v.Reason == "" && v.State != world.EndpointReady && v.State != "" {
+				v.Reason = "the provider's state is " + string(v.State)
+			}
+			if l, ok := loads[name]; ok {
+				v.Load = &l.Load
+				if v.Reason == "" && l.noNewWork {
+					v.Reason = "the endpoint drains, changes or leaves"
+				}
+			}
+			v.NoNewWork = v.Reason != ""
+			views = append(views, v)
+		}
+	}
+	return c.JSON(http.StatusOK, map[string]any{"endpoints": views})
+}
+
+// setDrained adds an endpoint to the pool's drained list or takes it off.
+func (s *Server) setDrained(c echo.Context, drained bool) error {
+	if err := require(c, auth.ScopeEndpoints, ""); err != nil {
+		return err
+	}
+	ctx, pool, name := c.Request().Context(), c.Param("pool"), c.Param("name")
+	version, err := edit(ctx, s, world.KindPool, pool, false, func(p *world.Pool) error {
+		if slices.Contains(p.Drained, name) == drained {
+			return errUnchanged
+		}
+		if !drained {
+			p.Drained = slices.DeleteFunc(p.Drained, func(n string) bool { return n == name })
+			return nil
+		}
+		if _, known := s.endpointsOf(p, pool)[name]; !known {
+			return notFound("endpoint", pool+"/"+name)
+		}
+		p.Drained = append(p.Drained, name)
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, writeResult{version, s.confirm(ctx, world.KindPool, pool, version)})
+}
+
+func (s *Server) endpointsOf(p *world.Pool, pool string) map[string]world.Endpoint {
+	all := make(map[string]world.Endpoint)
+	if s.Endpoints != nil {
+		all = s.Endpoints.Endpoints(pool)
+	}
+	for _, e := range p.Endpoints {
+		all[e.Name] = e
+	}
+	return all
+}
+
+func (s *Server) listUnresolved(c echo.Context) error {
+	shards, err := list[world.ClaimShard](c.Request().Context(), s, world.KindClaims)
+	if err != nil {
+		return err
+	}
+	claims := []world.Claim{}
+	for _, shard := range shards {
+		for _, claim := range shard.Claims {
+			if claim.State == world.ClaimUnresolved {
+				claim.Body = nil
+				claims = append(claims, claim)
+			}
+		}
+	}
+	slices.SortFunc(claims, func(a, b world.Claim) int { return cmp.Compare(a.At, b.At) })
+	return c.JSON(http.StatusOK, map[string]any{"claims": claims})
+}
+
+// resolve records an operator's decision about an unresolved claim. Other claims are not touched, because a gateway may own them.
+func (s *Server) resolve(c echo.Context) error {
+	if err := require(c, auth.ScopeEndpoints, ""); err != nil {
+		return err
+	}
+	var body struct {
+		Outcome world.ClaimState `json:"outcome"`
+	}
+	if err := bind(c, &body); err != nil {
+		return err
+	}
+	if body.Outcome != world.ClaimDone && body.Outcome != world.ClaimNotRun {
+		return apierror.New(apierror.InvalidRequest, "use done or not_run", "%q is not an outcome", body.Outcome)
+	}
+	ctx, key := c.Request().Context(), c.Param("key")
+	shards, err := list[world.ClaimShard](ctx, s, world.KindClaims)
+	if err != nil {
+		return err
+	}
+	for name, shard := range shards {
+		if _, ok := shard.Claims[key]; !ok {
+			continue
+		}
+		_, err := edit(ctx, s, world.KindClaims, name, false, func(shard *world.ClaimShard) error {
+			return decide(shard, key, body.Outcome)
+		})
+		if err != nil {
+			return err
+		}
+		return c.JSON(http.StatusOK, map[string]any{"key": key, "outcome": body.Outcome})
+	}
+	return notFound("claim", key)
+}
+
+func decide(shard *world.ClaimShard, key string, outcome world.ClaimState) error {
+	claim, ok := shard.Claims[key]
+	if !ok {
+		return notFound("claim", key)
+	}
+	if claim.State == outcome {
+		return errUnchanged
+	}
+	if claim.State != world.ClaimUnresolved {
+		return apierror.New(apierror.Conflict, "only unresolved claims can be resolved; read the list again", "claim %s is %s", key, claim.State)
+	}
+	claim.State = outcome
+	shard.Claims[key] = claim
+	return nil
+}
+
+func (s *Server) usage(c echo.Context) error {
+	from, to := int64(0), int64(1<<62)
+	for name, into := range map[string]*int64{"from": &from, "to": &to} {
+		if text := c.QueryParam(name); text != "" {
+			v, err := strconv.ParseInt(text, 10, 64)
+			if err != nil {
+				return apierror.New(apierror.InvalidRequest, "use Unix seconds", "%s=%q is not a time", name, text)
+			}
+			*into = v
+		}
+	}
+	all, err := list[world.UsageWindow](c.Request().Context(), s, world.KindWindow)
+	if err != nil {
+		return err
+	}
+	windows := []world.UsageWindow{}
+	for _, id := range slices.Sorted(maps.Keys(all)) {
+		if start, err := strconv.ParseInt(id, 10, 64); err == nil && start >= from && start < to {
+			windows = append(windows, all[id])
+		}
+	}
+	return c.JSON(http.StatusOK, map[string]any{"windows": windows})
+}
+
+type burnPoint struct {
+	Start int64  `json:"start"`
+	Good  uint64 `json:"good"`
+	Total uint64 `json:"total"`
+}
+
+type burnSeries struct {
+	Team      string      `json:"team"`
+	Route     string      `json:"route"`
+	Objective float64     `json:"objective"`
+	Points    []burnPoint `json:"points"`
+}
+
+// burn sums the gateways' counts per team, route and minute.
+func (s *Server) burn(c echo.Context) error {
+	var mu sync.Mutex
+	type id struct{ team, route string }
+	sums, objectives := make(map[id]map[int64]burnPoint), make(map[id]float64)
+	s.each(c.Request().Context(), s.Members.All(), func(ctx context.Context, _ int, g peerpb.GatewayClient) {
+		answer, err := g.GetBurn(ctx, &peerpb.BurnRequest{})
+		if err != nil {
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		for _, one := range answer.Series {
+			k := id{one.Team, one.Route}
+			if sums[k] == nil {
+				sums[k] = make(map[int64]burnPoint)
+			}
+			objectives[k] = one.Objective
+			for _, p := range one.Points {
+				sum := sums[k][p.Start]
+				sums[k][p.Start] = burnPoint{p.Start, sum.Good + p.Good, sum.Total + p.Total}
+			}
+		}
+	})
+	series := []burnSeries{}
+	for k, points := range sums {
+		one := burnSeries{Team: k.team, Route: k.route, Objective: objectives[k]}
+		for _, start := range slices.Sorted(maps.Keys(points)) {
+			one.Points = append(one.Points, points[start])
+		}
+		series = append(series, one)
+	}
+	slices.SortFunc(series, func(a, b burnSeries) int {
+		return cmp.Or(cmp.Compare(a.Team, b.Team), cmp.Compare(a.Route, b.Route))
+	})
+	return c.JSON(http.StatusOK, map[string]any{"series": series})
+}
--- /dev/null
+++ b/internal/controller/admin/server.go
@@ -0,0 +1,136 @@
+// Package admin is the administration API of a controller: configuration, keys, endpoints, credentials, status and reports.
+package admin
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/labstack/echo/v4"
+
+	"crocusglade.example/crocusglade/internal/apierror"
+	"crocusglade.example/crocusglade/internal/auth"
+	"crocusglade.example/crocusglade/internal/config"
+	"crocusglade.example/crocusglade/internal/membership"
+	"crocusglade.example/crocusglade/internal/peer/peerpb"
+	"crocusglade.example/crocusglade/internal/platform"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+// EndpointSource gives the endpoints of a pool by name; *controller.Directory implements it.
+type EndpointSource interface {
+	Endpoints(pool string) map[string]world.Endpoint
+}
+
+// Server serves the administration API. All fields but Endpoints and DialController must be set.
+type Server struct {
+	Store     platform.Store
+	Holder    *config.Holder
+	Freshness *config.Freshness
+	Members   *membership.Members
+	Keyring   *auth.Keyring
+	Admins    *auth.Administrators
+	// Gateway returns a client of a VM's gateway; peer.Clients.Gateway has this type.
+	Gateway   func(world.VM) (peerpb.GatewayClient, error)
+	Endpoints EndpointSource
+	// DialController reaches controllers for the status and for loads; peer.Clients.DialController has this type.
+	DialController config.Dial
+}
+
+// Handler returns the API.
+func (s *Server) Handler() http.Handler {
+	e := echo.New()
+	e.HideBanner = true
+	e.HTTPErrorHandler = writeError
+	g := e.Group("/admin/v1", limitBody, s.authenticate)
+	g.GET("/config/:kind", s.listConfig)
+	g.GET("/config/:kind/:name", s.getConfig)
+	g.PUT("/config/:kind/:name", s.putConfig)
+	g.DELETE("/config/:kind/:name", s.deleteConfig)
+	g.GET("/keys", s.listKeys)
+	g.POST("/keys", s.issueKey)
+	g.DELETE("/keys/:id", s.withdrawKey)
+	g.GET("/credentials", s.listCredentials)
+	g.POST("/credentials", s.makeCredential)
+	g.DELETE("/credentials/:name", s.withdrawCredential)
+	g.GET("/status", s.status)
+	g.GET("/endpoints", s.listEndpoints)
+	g.POST("/endpoints/:pool/:name/drain", func(c echo.Context) error { return s.setDrained(c, true) })
+	g.POST("/endpoints/:pool/:name/return", func(c echo.Context) error { return s.setDrained(c, false) })
+	g.GET("/requests/unresolved", s.listUnresolved)
+	g.POST("/requests/:key/resolve", s.resolve)
+	g.GET("/usage", s.usage)
+	g.GET("/burn", s.burn)
+	return e
+}
+
+func limitBody(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		c.Request().Body = http.MaxBytesReader(c.Response(), c.Request().Body, platform.MaxValueBytes)
+		return next(c)
+	}
+}
+
+const adminKey = "administrator"
+
+func (s *Server) authenticate(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		a, err := s.Admins.Authenticate(s.Holder.Current(), c.Request().Header.Get(echo.HeaderAuthorization))
+		if err != nil {
+			return err
+		}
+		if err := a.Require(auth.ScopeRead); err != nil {
+			return err
+		}
+		c.Set(adminKey, a)
+		return next(c)
+	}
+}
+
+// require checks the scope of the request's credential and that it covers the team; an empty team stands for all teams.
+func require(c echo.Context, scope, team string) error {
+	a := c.Get(adminKey).(auth.Administrator)
+	if err := a.Require(scope); err != nil {
+		return err
+	}
+	return a.RequireTeam(team)
+}
+
+// writeError writes an error in the shape {"error":{...}}.
+func writeError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	var he *echo.HTTPError
+	if errors.As(err, &he) {
+		kind := apierror.InvalidRequest
+		if he.Code == http.StatusNotFound {
+			kind = apierror.NotFound
+		}
+		err = apierror.New(kind, "check method, path and body against the administration API", "%v", he.Message)
+	}
+	e := apierror.From(err, apierror.Unknown)
+	_ = c.JSON(e.Status(), map[string]any{"error": e})
+}
+
+// bind parses a JSON body.
+func bind(c echo.Context, v any) error {
+	if err := c.Bind(v); err != nil {
+		return apierror.New(apierror.InvalidRequest, "send a JSON body as the administration API describes it", "the body can't be read: %v", err)
+	}
+	return nil
+}
+
+// expectedVersion returns the version that a conditional request expects, 0 for "must not exist".
+func expectedVersion(c echo.Context) (uint64, error) {
+	if c.Request().Header.Get("If-None-Match") == "*" {
+		return 0, nil
+	}
+	v, err := strconv.ParseUint(strings.Trim(c.Request().Header.Get("If-Match"), `"`), 10, 64)
+	if err != nil || v == 0 {
+		return 0, apierror.New(apierror.InvalidRequest,
+			`send 'If-Match: "<version>"' with the version that you read, or 'If-None-Match: *' to create`, "the request names no version")
+	}
+	return v, nil
+}
