config: compare instead of listing everything after missed events; tests for rules that mutations survived

- After missed events the source compares every list and takes the watch up again.
A full list without changes only moves the revision, so relays keep their history.
- Tests cover the late change in relays, lists from a sender that missed a change, ages from another revision, and a gateway whose revision is larger but whose key set is old.

--- a/internal/config/holder.go
+++ b/internal/config/holder.go
@@ -83,7 +83,9 @@
 	}
 	next.keepNewer(old, listed)
 	next.indexOpenRoutes()
-	h.publish(next, Change{Snapshot: next, Full: true})
+	// A list that changes no object only moves the revision, so subscribers need no full snapshot.
+	same := next.digest == old.digest && len(next.bad) == len(old.bad)
+	h.publish(next, Change{Snapshot: next, Full: !same})
 	return nil
 }
 
--- a/internal/config/relay_test.go
+++ b/internal/config/relay_test.go
@@ -168,6 +168,19 @@
 	if u, _ := r.update(&p); len(u.Objects) != 0 {
 		t.Error("a delta was sent twice")
 	}
+	if err := h.Replace(h.Current().Objects(), last+1); err != nil {
+		t.Fatal(err)
+	}
+	if u, _ := r.update(&p); u.Full || u.Revision != last+1 {
+		t.Error("a list that changes nothing made a full snapshot necessary")
+	}
+	h.Apply([]world.Event{teamEvent("late", 15, 1)})
+	if u, _ := r.update(&p); u.Full || len(u.Objects) != 1 {
+		t.Error("a connected subscriber did not get a late change as a delta")
+	}
+	if u, _ := r.update(&position{from: last + 1}); !u.Full {
+		t.Error("a subscriber that comes back may have missed a late change and got no full snapshot")
+	}
 }
 
 // Guards against any order of duplicated, late or old messages that takes an object or the revision back.
@@ -185,7 +198,7 @@
 				e.Type = world.EventDelete
 				h.Apply([]world.Event{e})
 			case 1:
-				_ = h.Replace([]world.Object{e.Object}, v)
+				_ = h.Replace([]world.Object{e.Object}, v+rapid.Uint64Range(0, 10).Draw(t, "lead"))
 			default:
 				h.Apply([]world.Event{e})
 			}
--- a/internal/config/source.go
+++ b/internal/config/source.go
@@ -56,7 +56,8 @@
 }
 
 // Run keeps the holder current until ctx ends. Failures are retried with back-off. A lost watch is taken up again from the
-// revision in force; only compaction and missed events cost a new list of everything.
+// revision in force; only compaction costs a new
+// list of everything at once.
 func (s *Source) Run(ctx context.Context) error {
 	var b backoff
 	var lists []*kindList
@@ -75,7 +76,10 @@
 			lists = nil
 		}
 		if errors.Is(err, errMissed) {
-			lists = nil
+			// Events of other kinds may have been missed as well: all lists are compared before the next watch.
+			for _, l := range lists {
+				l.due = time.Time{}
+			}
 		}
 		if time.Since(started) > maxBackoff {
 			b.reset()
@@ -104,7 +108,7 @@
 	if lists == nil {
 		lists, err = s.listAll(ctx)
 	} else {
-		err = s.compareOne(ctx, earliest(lists))
+		err = s.compareDue(ctx, lists)
 	}
 	if err != nil {
 		return lists, err
@@ -198,6 +202,18 @@
 	}
 }
 
+// compareDue compares every list that is due, and at least one.
+func (s *Source) compareDue(ctx context.Context, lists []*kindList) error {
+	for range lists {
+		l := earliest(lists)
+		due := !l.due.After(time.Now())
+		if err := s.compareOne(ctx, l); err != nil || !due {
+			return err
+		}
+	}
+	return nil
+}
+
 // earliest returns the list that is most overdue or, when none is due, the smallest one as a probe.
 func earliest(lists []*kindList) *kindList {
 	first, smallest := lists[0], lists[0]
--- a/internal/controller/admin/admin_test.go
+++ b/internal/controller/admin/admin_test.go
@@ -134,7 +134,8 @@
 	})
 }
 
-// Guards against a withdrawal that is acknowledged while a majority still accepts the key, and one that a single cut-off gateway blocks.
+// Guards against a withdrawal that is acknowledged while a majority still accepts the key, be it that a gateway has a larger revision
+// but has missed the change, and one that a single cut-off gateway blocks.
 func TestWithdrawalNeedsMajority(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := start(t)
@@ -149,11 +150,16 @@
 		if _, err := f.server.Keyring.Authenticate(snapshot(), key); err != nil {
 			t.Fatal(err)
 		}
-		f.gateways["vm-2"].cut, f.gateways["vm-3"].cut = true, true
+		f.gateways["vm-3"].cut = true
+		follower := f.gateways["vm-2"].holder
+		f.gateways["vm-2"].holder = config.NewHolder()
+		if err := f.gateways["vm-2"].holder.Replace(follower.Current().Objects(), 1000); err != nil {
+			t.Fatal(err)
+		}
 		if code, body := f.call("boot", "DELETE", "/keys/"+id, "", ""); code != 503 {
 			t.Fatalf("acknowledged by two of four: %d %v", code, body)
 		}
-		f.gateways["vm-2"].cut = false
+		f.gateways["vm-2"].holder = follower
 		if code, body := f.call("boot", "DELETE", "/keys/"+id, "", ""); code != 200 || body["confirmed"] != 3.0 {
 			t.Fatalf("repeated with one gateway cut off: %d %v", code, body)
 		}
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -217,6 +217,24 @@
 	})
 }
 
+// Guards against a neighbour that confirms a configuration other than this gateway's.
+func TestAgeCountsOnlyAtEqualRevision(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := startCluster(t, 1).gateways[0]
+		g.holder.Apply([]world.Event{team("a", 9)})
+		for _, revision := range []uint64{8, 10} {
+			g.mesh.take(&peerpb.PeerUpdate{Vm: "x", Revision: revision})
+		}
+		if g.freshness.AgeMS() != config.UnknownAge {
+			t.Fatalf("age %d ms from another revision", g.freshness.AgeMS())
+		}
+		g.mesh.take(&peerpb.PeerUpdate{Vm: "x", Revision: 9, PlatformAgeMs: 1500})
+		if age := g.freshness.AgeMS(); age != 1500 {
+			t.Fatalf("age %d ms from the same revision", age)
+		}
+	})
+}
+
 // Guards against a change that only a neighbour has, because this gateway's relays are gone.
 func TestSnapshotFromNeighbour(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
