Send a claimed call only soon after its claim

Change: the connection of a claimed call checks the monotonic and the wall clock before its first byte and refuses after 5 s; the claim is released then. A check before the call alone was ruled out, since a dial lies between. A pause exactly between the check and the system call stays open. The reconciler is tested against the stand-in service.

--- a/internal/claim/store_test.go
+++ b/internal/claim/store_test.go
@@ -4,13 +4,16 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"crocusglade.example/crocusglade/internal/apierror"
+	"crocusglade.example/crocusglade/internal/endpoint"
 	"crocusglade.example/crocusglade/internal/platform/memplatform"
+	"crocusglade.example/crocusglade/internal/standin"
 	"crocusglade.example/crocusglade/internal/world"
 )
 
@@ -222,3 +225,34 @@
 		})
 	}
 }
+
+// Guards against a declaration that ran, whose gateway died, and that is lost or run again.
+func TestReconcilerAsksTheService(t *testing.T) {
+	service := standin.NewService(standin.ServiceConfig{})
+	server := httptest.NewServer(service)
+	defer server.Close()
+	addr := strings.TrimPrefix(server.URL, "http://")
+	client := endpoint.New(endpoint.Options{})
+	defer client.Close()
+	s := NewStore(Options{Platform: memplatform.New()})
+	ran, never := attempt("ran", "1"), attempt("never", "2")
+	ran.Instance, never.Instance = service.Instance(), service.Instance()
+	begin(t, s, ran)
+	begin(t, s, never)
+	if _, err := client.Call(ctx, addr, endpoint.ServiceCall{Method: "POST", URI: "/x", RequestID: ran.RequestID}); err != nil {
+		t.Fatal(err)
+	}
+	asker := EndpointAsker{Client: client, Addr: func(name string) (string, bool) { return addr, name == "e" }}
+	r := &Reconciler{Store: s, Incarnations: fakeWorld{gone: true}, Endpoints: asker, Authority: func() bool { return true }}
+	if report, err := r.Pass(ctx); err != nil || report.Done != 1 || report.NotRun != 1 {
+		t.Fatalf("%+v, %v", report, err)
+	}
+	if existing, won := begin(t, s, attempt("ran", "3")); won || existing.Status != 200 || !existing.BodyKept || existing.ContentType != "application/json" {
+		t.Fatalf("the outcome is %+v", existing)
+	}
+	r.Authority = func() bool { return false }
+	begin(t, s, attempt("later", "4"))
+	if _, err := r.Pass(ctx); !errors.Is(err, ErrNoAuthority) {
+		t.Fatalf("a pass without the lease gave %v", err)
+	}
+}
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -134,6 +134,7 @@
 		c.scheme = "https"
 	}
 	c.pooled = newHTTPClient(o, false)
+	o.DialContext = guardDial(o.DialContext)
 	c.once = newHTTPClient(o, true)
 	return c
 }
--- a/internal/endpoint/endpoint_test.go
+++ b/internal/endpoint/endpoint_test.go
@@ -112,6 +112,21 @@
 	}
 }
 
+// Guards against a call that a paused process sends after others have declared it dead.
+func TestLateCallIsNotSent(t *testing.T) {
+	service := standin.NewService(standin.ServiceConfig{})
+	addr := serve(t, service)
+	call := endpoint.ServiceCall{Method: "POST", URI: "/x", RequestID: "a", Body: []byte("{}"), SendBefore: time.Now().Add(-time.Second)}
+	_, err := newClient(t).Call(context.Background(), addr, call)
+	if e := endpoint.AsError(err); e == nil || e.Sent || len(service.Calls()) != 0 {
+		t.Fatalf("a late call gave %v and reached the service %d times", err, len(service.Calls()))
+	}
+	call.SendBefore = time.Now().Add(time.Minute)
+	if _, err := newClient(t).Call(context.Background(), addr, call); err != nil || service.Executed() != 1 {
+		t.Fatalf("a call in time gave %v", err)
+	}
+}
+
 // Guards against a stale order that is taken for an accepted one, and against a lookup that loses the instance.
 func TestControlAndLookup(t *testing.T) {
 	c, ctx := newClient(t), context.Background()
--- a/internal/endpoint/service.go
+++ b/internal/endpoint/service.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -18,6 +19,8 @@
 	RequestID string
 	// Idempotent calls may be sent over a reused connection, where the transport may repeat them.
 	Idempotent bool
+	// SendBefore, when set, is the time after which a call that is not idempotent must not be sent any more.
+	SendBefore time.Time
 }
 
 // ServiceAnswer is the whole answer of a plain service.
@@ -30,6 +33,11 @@
 // Call sends a call to a plain service and reads its whole answer, which must echo the request id. Any status is an answer.
 func (c *Client) Call(ctx context.Context, addr string, call ServiceCall) (*ServiceAnswer, error) {
 	op := call.Method
+	var guard *sendGuard
+	if !call.SendBefore.IsZero() {
+		guard = &sendGuard{before: call.SendBefore}
+		ctx = context.WithValue(ctx, guardKey{}, guard)
+	}
 	req, err := http.NewRequestWithContext(ctx, call.Method, c.url(addr, call.URI), bytes.NewReader(call.Body))
 	if err != nil {
 		return nil, &Error{Addr: addr, Op: op, Reason: Unreachable, Err: err}
@@ -43,6 +51,10 @@
 		hc = c.pooled
 	}
 	resp, err := c.do(hc, req, addr, op)
+	if e := AsError(err); e != nil && guard != nil && !call.Idempotent && !guard.wrote.Load() {
+		// The connection took no byte, so the call can't have left.
+		e.Sent = false
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/claimed.go
+++ b/internal/gateway/claimed.go
@@ -79,6 +79,7 @@
 // attemptClaimed writes the claim and dispatches the call. It returns false when nothing was sent and the claim is released.
 func (g *Gateway) attemptClaimed(ctx context.Context, s *serviceCall, choice *balancer.Choice, a *answer) (bool, error) {
 	c := g.newClaim(s, choice)
+	sendBefore := time.Now().Add(g.opts.DispatchWithin)
 	g.addAttempt(c.Attempt)
 	existing, won, err := g.opts.Claims.Begin(ctx, c)
 	if err != nil || !won {
@@ -91,7 +92,9 @@
 		g.replay(existing, a)
 		return true, nil
 	}
-	got, err := g.opts.Endpoints.Call(ctx, choice.Endpoint.Addr, s.request())
+	request := s.request()
+	request.SendBefore = sendBefore
+	got, err := g.opts.Endpoints.Call(ctx, choice.Endpoint.Addr, request)
 	choice.Done(balancer.Outcome{Failed: endpointFailed(err)})
 	e := endpoint.AsError(err)
 	switch {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,6 +36,8 @@
 	DefaultMaxBodyBytes   = 4 << 20
 	DefaultMaxAnswerBytes = 32 << 20
 	DefaultMaxAttempts    = 4
+	// DefaultDispatchWithin is well below the time in which a paused gateway is replaced and its claims are reconciled.
+	DefaultDispatchWithin = 5 * time.Second
 )
 
 // Limits on callers' connections.
@@ -117,6 +119,9 @@
 	MaxAnswerBytes int64
 	// MaxAttempts bounds the endpoints that one request is tried on.
 	MaxAttempts int
+	// DispatchWithin bounds the time between the start of a claim and the first byte of its call. A gateway that was paused
+	// for longer sends nothing, because its claim may have been reconciled.
+	DispatchWithin time.Duration
 }
 
 // Gateway serves callers. Its methods may be called concurrently.
@@ -163,6 +168,7 @@
 	o.AbandonAfter = cmp.Or(o.AbandonAfter, DefaultAbandonAfter)
 	o.MaxBodyBytes = cmp.Or(o.MaxBodyBytes, DefaultMaxBodyBytes)
 	o.MaxAnswerBytes = cmp.Or(o.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	o.DispatchWithin = cmp.Or(o.DispatchWithin, DefaultDispatchWithin)
 	o.MaxAttempts = cmp.Or(o.MaxAttempts, DefaultMaxAttempts)
 	idle := make(chan struct{})
 	close(idle)
--- a/internal/gateway/model_test.go
+++ b/internal/gateway/model_test.go
@@ -198,7 +198,7 @@
 	handedOver := make(chan struct{})
 	addr := b.gateway("vm-1", func(o *Options) {
 		o.EntryLifetime = 100 * time.Millisecond
-		o.HandOver = func(ctxT) error { close(handedOver); return nil }
+		o.HandOver = func(context.Context) error { close(handedOver); return nil }
 	})
 	g := b.gateways["vm-1"]
 	_, reader := b.start(addr, "rope")
--- a/internal/gateway/service_test.go
+++ b/internal/gateway/service_test.go
@@ -12,10 +12,9 @@
 	"crocusglade.example/crocusglade/internal/claim"
 	"crocusglade.example/crocusglade/internal/platform/memplatform"
 	"crocusglade.example/crocusglade/internal/standin"
+	"crocusglade.example/crocusglade/internal/world"
 )
 
-type ctxT = context.Context
-
 func (b *bed) declare(addr, key, body string) reply {
 	return b.call("POST", addr, "/svc/harvest/declare", "rope", body, idempotencyHeader, key)
 }
@@ -142,3 +141,24 @@
 		t.Fatalf("the repeat got %d %s", r.status, r.body)
 	}
 }
+
+// pausedClaims returns from Begin late, as in a process that was paused after its claim was written.
+type pausedClaims struct{ claim.Claims }
+
+func (p pausedClaims) Begin(ctx context.Context, c world.Claim) (world.Claim, bool, error) {
+	existing, won, err := p.Claims.Begin(ctx, c)
+	time.Sleep(20 * time.Millisecond)
+	return existing, won, err
+}
+
+// Guards against a second run by a gateway that wakes after its claim was reconciled as not run.
+func TestPausedGatewaySendsNothing(t *testing.T) {
+	b := newBed(t)
+	paused := b.gateway("vm-1", func(o *Options) { o.Claims, o.DispatchWithin = pausedClaims{o.Claims}, 10*time.Millisecond })
+	if r := b.declare(paused, "k", "{}"); r.err.Run != apierror.NotRun || b.service.Executed() != 0 {
+		t.Fatalf("got %d %s", r.status, r.body)
+	}
+	if r := b.declare(b.gateway("vm-2"), "k", "{}"); r.status != 200 || b.service.Executed() != 1 {
+		t.Fatalf("the repeat got %d %s", r.status, r.body)
+	}
+}
