config: test a withdrawal from the platform to a gateway, through an outage and an old list

The parts were tested one by one only.

Measured: a withdrawal is in force at a connected gateway within 2 s of virtual time, stays in force through an outage, an old list and a subscriber started during the outage, and that subscriber does not count as synced.

--- a/internal/config/relay_test.go
+++ b/internal/config/relay_test.go
@@ -15,6 +15,7 @@
 	"pgregory.net/rapid"
 
 	"crocusglade.example/crocusglade/internal/peer/peerpb"
+	"crocusglade.example/crocusglade/internal/platform/memplatform"
 	"crocusglade.example/crocusglade/internal/world"
 )
 
@@ -224,3 +225,47 @@
 		}
 	})
 }
+
+// Guards against a withdrawn key that a connected gateway accepts for more than 2 s, a restarted gateway that counts as level with the
+// platform during an outage, and a withdrawal that reverts after it.
+func TestWithdrawalReachesGateway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, n := memplatform.New(), startNode(t)
+		set := func(withdrawn int64) {
+			put(t, p, world.KindKeySet, "00", world.KeySet{Keys: []world.KeyRecord{{ID: "00-1", Hash: "00", WithdrawnAt: withdrawn}}})
+		}
+		set(0)
+		source := NewSource(p, n.holder, &n.freshness)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); _ = source.Run(ctx) }()
+		defer func() { cancel(); <-done }()
+		h := NewHolder()
+		s, f := subscribe(t, h, n)
+		time.Sleep(10 * time.Second)
+		if k, ok := h.Current().Key("00"); !ok || k.WithdrawnAt != 0 || !s.Synced() || f.AgeMS() > 3000 {
+			t.Fatalf("key %v, synced %v, age %d ms", ok, s.Synced(), f.AgeMS())
+		}
+		set(1)
+		time.Sleep(2 * time.Second)
+		if k, _ := h.Current().Key("00"); k.WithdrawnAt == 0 {
+			t.Fatal("the withdrawal is not in force after 2 s")
+		}
+		p.SetFaults(memplatform.Faults{Down: true})
+		time.Sleep(time.Minute)
+		if f.AgeMS() < 55_000 {
+			t.Fatalf("age %d ms after a minute of outage", f.AgeMS())
+		}
+		restarted := NewHolder()
+		again, _ := subscribe(t, restarted, n)
+		time.Sleep(5 * time.Second)
+		if k, _ := restarted.Current().Key("00"); k.WithdrawnAt == 0 || again.Synced() {
+			t.Fatalf("restarted in the outage: withdrawn at %d, synced %v", k.WithdrawnAt, again.Synced())
+		}
+		p.SetFaults(memplatform.Faults{OldLists: 1})
+		time.Sleep(30 * time.Second)
+		if k, _ := h.Current().Key("00"); k.WithdrawnAt == 0 {
+			t.Fatal("an old list took the withdrawal back")
+		}
+	})
+}
