config: an object's absence from a list is no deletion

A relay whose watch had missed an object's creation could send, after a digest mismatch, a list without it. The subscriber recorded a deletion at the list's revision, and the object could not come back until it was written again.

Ruled out: deleting nothing on a list of equal revision (a missed deletion would then last as long).

--- a/internal/config/holder.go
+++ b/internal/config/holder.go
@@ -73,7 +73,7 @@
 	for _, o := range objects {
 		k := objectKey{o.Kind, o.Name}
 		listed[k] = true
-		if deleted := old.deleted[k]; deleted >= o.Version && deleted > 0 {
+		if old.refuses(o, revision) {
 			continue
 		}
 		if held, ok := old.objects[k]; ok && held.Version > o.Version {
@@ -89,6 +89,17 @@
 	return nil
 }
 
+// refuses tells whether a listed object must stay out of force: it was deleted since, or it is older than a version that was in
+// force, or a list of the same revision lacked it.
+func (s *Snapshot) refuses(o world.Object, revision uint64) bool {
+	k := objectKey{o.Kind, o.Name}
+	if deleted := s.deleted[k]; deleted >= o.Version && deleted > 0 {
+		return true
+	}
+	a, ok := s.absent[k]
+	return ok && (o.Version < a.version || revision <= a.revision)
+}
+
 // keepNewer carries over what the list can't know: objects in force that are newer than the list, deletions of objects
 // that are not in force, and versions that can't be parsed of objects whose sender passes only the good one.
 func (s *Snapshot) keepNewer(old *Snapshot, listed map[objectKey]bool) {
@@ -98,7 +109,12 @@
 			continue
 		}
 		if !listed[k] {
-			s.deleted[k] = s.revision
+			s.absent[k] = absence{o.Version, s.revision}
+		}
+	}
+	for k, a := range old.absent {
+		if _, ok := s.objects[k]; !ok {
+			s.absent[k] = a
 		}
 	}
 	for k, r := range old.deleted {
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -32,9 +32,15 @@
 	bad       map[objectKey]badObject
 	// deleted holds the revision of each object's deletion, so that an older version can't bring it back.
 	deleted map[objectKey]uint64
-	digest  uint64
+	// absent holds objects that a full list left out without a deletion having been seen.
+	absent map[objectKey]absence
+	digest uint64
 }
 
+// absence is weaker than a deletion, because the sender of the list may have missed the object's creation. The same version may
+// come back with a late event or with a list of a larger revision; older versions may not.
+type absence struct{ version, revision uint64 }
+
 // badObject is an object whose last version can't be parsed.
 type badObject struct {
 	version uint64
@@ -119,6 +125,7 @@
 		openRoute: map[string]bool{},
 		bad:       map[objectKey]badObject{},
 		deleted:   map[objectKey]uint64{},
+		absent:    map[objectKey]absence{},
 	}
 }
 
@@ -136,6 +143,7 @@
 		openRoute: s.openRoute,
 		bad:       maps.Clone(s.bad),
 		deleted:   maps.Clone(s.deleted),
+		absent:    maps.Clone(s.absent),
 		digest:    s.digest,
 	}
 }
@@ -144,6 +152,7 @@
 func (s *Snapshot) put(o world.Object, old *Snapshot) {
 	k := objectKey{o.Kind, o.Name}
 	delete(s.deleted, k)
+	delete(s.absent, k)
 	if err := s.parse(k, o.Data); err != nil {
 		s.bad[k] = badObject{o.Version, err.Error()}
 		if good, ok := old.objects[k]; ok {
@@ -173,7 +182,11 @@
 
 // seen returns the newest version of an object that the snapshot has seen, deletions and unparsable versions included.
 func (s *Snapshot) seen(k objectKey) uint64 {
-	return max(s.objects[k].Version, s.bad[k].version, s.deleted[k])
+	seen := max(s.objects[k].Version, s.bad[k].version, s.deleted[k])
+	if a, ok := s.absent[k]; ok && a.version > 0 {
+		seen = max(seen, a.version-1)
+	}
+	return seen
 }
 
 // ObjectVersion returns the version in force of an object, or 0 when it does not exist. A version that can't be parsed
@@ -223,6 +236,7 @@
 		s.digest ^= hashVersion(held)
 	}
 	s.deleted[k] = revision
+	delete(s.absent, k)
 	delete(s.objects, k)
 	delete(s.bad, k)
 	switch k.kind {
