gateway: refuse waiting calls of a withdrawn key

Cause: a non-idempotent call that waited for admission was sent although its key had been withdrawn meanwhile; it is not cancelled as streams are, because a dispatched call has to run to its end. Change: the key is checked again before each claim. InFlight counts requests; it counted each request's connection as well.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -190,8 +190,10 @@
 		cancel(errWithdrawn)
 	}
 	g.hold()
+	g.addRunning(1)
 	go func() {
 		defer g.leave()
+		defer g.addRunning(-1)
 		defer cancel(nil)
 		run(ctx, a)
 		g.answers.finish(a)
--- a/internal/gateway/claimed.go
+++ b/internal/gateway/claimed.go
@@ -59,6 +59,11 @@
 func (g *Gateway) runClaimed(ctx context.Context, s *serviceCall, a *answer) {
 	var last error
 	for try := 0; try < g.opts.MaxAttempts; try++ {
+		// The key may have been withdrawn while the call waited for admission. A call that is dispatched runs to its end.
+		if withdrawn(g.opts.Config.Current(), s.keyHash) {
+			a.fail(apierror.New(apierror.KeyWithdrawn, "ask an operator for a new key", "the key was withdrawn before the call was sent"))
+			return
+		}
 		choice, err := g.choose(s.call, &s.place)
 		if err != nil {
 			if last == nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -133,7 +133,8 @@
 	mu       sync.Mutex
 	leaving  bool
 	refusing bool
-	inFlight int
+	running  int           // admitted or waiting requests
+	inFlight int           // running requests, their connections, and what they leave behind
 	idle     chan struct{} // closed while nothing is in flight
 	attempts map[string]bool
 }
@@ -209,7 +210,13 @@
 func (g *Gateway) InFlight() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.inFlight
+	return g.running
+}
+
+func (g *Gateway) addRunning(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.running += n
 }
 
 // Draining tells whether the gateway has left discovery.
--- a/internal/gateway/service_test.go
+++ b/internal/gateway/service_test.go
@@ -162,3 +162,26 @@
 		t.Fatalf("the repeat got %d %s", r.status, r.body)
 	}
 }
+
+// Guards against a withdrawn key whose waiting call is sent, and against a dispatched call that its withdrawal cuts.
+func TestWithdrawalOfNonIdempotentCalls(t *testing.T) {
+	b := newBed(t)
+	b.service.SetFaults(standin.ServiceFaults{Slow: time.Second})
+	addr := b.gateway("vm-1", func(o *Options) { o.Admission.SetCapacity("svc", 1, 1000) })
+	replies := [2]chan reply{make(chan reply, 1), make(chan reply, 1)}
+	go func() { replies[0] <- b.declare(addr, "k1", "{}") }()
+	for b.service.Executed() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	go func() { replies[1] <- b.declare(addr, "k2", "{}") }()
+	for b.gateways["vm-1"].InFlight() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	b.withdraw("rope")
+	if r := <-replies[0]; r.status != 200 {
+		t.Fatalf("a dispatched call got %d %s", r.status, r.body)
+	}
+	if r := <-replies[1]; r.err.Kind != apierror.KeyWithdrawn || r.err.Run != apierror.NotRun || b.service.Executed() != 1 {
+		t.Fatalf("a waiting call got %d %s", r.status, r.body)
+	}
+}
