Test the whole path with separate processes

Cause: the path was only tried by hand. The first run showed a gateway that never became ready on an empty platform: revision 0 stood both for 'empty' and for 'nothing known'. Change: internal/e2e starts four VMs as processes against stand-ins, with a link for each pair of VMs that can be cut. Ruled out: ephemeral ports, which collided with outgoing connections of other tests; each VM has a loopback address of its own.

--- /dev/null
+++ b/internal/e2e/calls_test.go
@@ -0,0 +1,142 @@
+package e2e
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"crocusglade.example/crocusglade/internal/apierror"
+	"crocusglade.example/crocusglade/internal/history"
+	"crocusglade.example/crocusglade/internal/standin"
+)
+
+// reply is what a caller got.
+type reply struct {
+	id     string
+	status int
+	body   string
+	// text is the output of a model, whole tells whether the answer came with all its end marks.
+	text  string
+	whole bool
+	err   apierror.Error
+}
+
+// call sends a request of a team to a VM's gateway.
+func (c *cluster) call(vm int, team, method, path, body string, header map[string]string) reply {
+	req, err := http.NewRequest(method, "http://"+c.vms[vm].GatewayAddr+path, strings.NewReader(body))
+	if err != nil {
+		c.t.Error(err)
+		return reply{}
+	}
+	c.mu.Lock()
+	key := c.keys[team]
+	c.mu.Unlock()
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("Content-Type", "application/json")
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return reply{}
+	}
+	defer resp.Body.Close()
+	r := reply{id: resp.Header.Get("X-Request-Id"), status: resp.StatusCode}
+	data, err := io.ReadAll(resp.Body)
+	r.body = string(data)
+	r.whole = err == nil && resp.StatusCode < 400
+	if resp.StatusCode >= 400 {
+		var e struct{ Error apierror.Error }
+		if json.Unmarshal(data, &e) == nil {
+			r.err = e.Error
+		}
+	}
+	return r
+}
+
+// chat sends a chat request, streamed or not, and parses the answer.
+func (c *cluster) chat(vm int, team, prompt string, tokens int, stream bool) reply {
+	body := fmt.Sprintf(`{"model":"logreader","stream":%v,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, stream, tokens, prompt)
+	r := c.call(vm, team, http.MethodPost, "/v1/chat/completions", body, nil)
+	if r.status != http.StatusOK {
+		return r
+	}
+	if stream {
+		r.parseStream()
+		return r
+	}
+	var answer struct {
+		Choices []struct{ Message struct{ Content string } }
+	}
+	if err := json.Unmarshal([]byte(r.body), &answer); err != nil || len(answer.Choices) != 1 {
+		r.whole = false
+		return r
+	}
+	r.text = answer.Choices[0].Message.Content
+	return r
+}
+
+// parseStream joins the chunks of a stream. The answer is whole only with a finish reason, usage and [DONE].
+func (r *reply) parseStream() {
+	var finished, used, done bool
+	lines := bufio.NewScanner(strings.NewReader(r.body))
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			done = true
+			continue
+		}
+		var chunk struct {
+			Choices []struct {
+				Delta        struct{ Content string }
+				FinishReason string `json:"finish_reason"`
+			}
+			Usage *struct{}
+			Error *apierror.Error
+		}
+		if json.Unmarshal([]byte(data), &chunk) != nil {
+			continue
+		}
+		for _, choice := range chunk.Choices {
+			r.text += choice.Delta.Content
+			finished = finished || choice.FinishReason != ""
+		}
+		used = used || chunk.Usage != nil
+		if chunk.Error != nil {
+			r.err = *chunk.Error
+		}
+	}
+	r.whole = r.whole && finished && used && done
+}
+
+// expected returns the output that the stand-in engine gives for a chat of one message.
+func expected(prompt string, tokens int) string {
+	return standin.Output(standin.ChatPrompt("user", prompt), tokens)
+}
+
+// record adds a finished request to the history.
+func (c *cluster) record(vm int, team, route string, start time.Time, r reply, want string) {
+	h := history.Request{ID: r.id, Team: team, Route: route, Gateway: c.vms[vm].Name, Start: start, End: time.Now(), Answer: r.text, Expected: want,
+		Kind: string(r.err.Kind), Run: string(r.err.Run)}
+	switch {
+	case r.whole:
+		h.Result = history.Whole
+	case r.status == 0:
+		h.Result = history.Broken
+	case r.status >= 400:
+		h.Result = history.Refused
+	case r.err.Kind != "":
+		h.Result = history.Incomplete
+	default:
+		h.Result = history.Broken
+	}
+	c.history.AddRequest(h)
+}
--- /dev/null
+++ b/internal/e2e/cluster_test.go
@@ -0,0 +1,414 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"crocusglade.example/crocusglade/internal/fault"
+	"crocusglade.example/crocusglade/internal/history"
+	"crocusglade.example/crocusglade/internal/platform/memplatform"
+	"crocusglade.example/crocusglade/internal/standin"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+const (
+	vmCount = 4
+	// patience bounds every wait. It only ends a run that hangs; no verdict depends on how fast the machine is.
+	patience   = 90 * time.Second
+	credential = "bootstrap-credential-of-the-tests-0123456789"
+	keySecret  = "key-secret-of-the-tests-0123456789-0123456789"
+	region     = "riga-gulf"
+	// usageWindow is the shortest length that the settings allow.
+	usageWindow = 10 * time.Second
+)
+
+var failureDomains = []string{"engure", "salacgriva", "roja"}
+
+// clusters counts the clusters of this test process.
+var clusters atomic.Int32
+
+// daemonPath is the daemon that TestMain built.
+var daemonPath string
+
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "e2e")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	daemonPath = filepath.Join(dir, "crocusgladed")
+	build := exec.Command("go", "build", "-o", daemonPath, "crocusglade.example/crocusglade/cmd/crocusgladed")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build the daemon: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// vm is one entry VM: its two processes, the platform as it sees it, and the links from it to the other VMs.
+type vm struct {
+	world.VM
+	index               int
+	gateway, controller *fault.Process
+	gatewayMetrics      string
+	controllerMetrics   string
+	// platform is this VM's link to the platform.
+	platform *fault.Relay
+	// links holds this VM's links to each other VM's gateway and controller, by VM name.
+	links map[string][2]*fault.Relay
+	log   *os.File
+}
+
+// cluster is a deployment of four VMs with stand-ins.
+type cluster struct {
+	t        *testing.T
+	mem      *memplatform.Platform
+	vms      []*vm
+	engines  map[string]*standin.Engine
+	services map[string]*standin.Service
+	pools    map[string]world.Pool
+	history  *history.History
+	client   *http.Client
+
+	mu   sync.Mutex
+	keys map[string]string
+}
+
+// options changes a cluster before it starts.
+type options struct {
+	engines  int
+	services int
+	engine   standin.EngineConfig
+	service  standin.ServiceConfig
+	// checksFence tells whether engines check fencing numbers.
+	checksFence bool
+	// gatewayFlags are added to each gateway's flags.
+	gatewayFlags []string
+}
+
+// newCluster starts stand-ins, four controllers and four gateways, applies a configuration with the teams "skippers" and
+// "clerks", and issues a key for each. All ends with the test.
+func newCluster(t *testing.T, o options) *cluster {
+	t.Helper()
+	c := &cluster{t: t, mem: memplatform.New(), engines: make(map[string]*standin.Engine), services: make(map[string]*standin.Service),
+		pools: make(map[string]world.Pool), history: &history.History{}, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+		keys: make(map[string]string)}
+	t.Cleanup(c.client.CloseIdleConnections)
+	c.startEndpoints(o)
+	c.layOut()
+	c.startPlatform()
+	for _, v := range c.vms {
+		c.startController(v)
+		c.startGateway(v, o.gatewayFlags...)
+	}
+	for _, v := range c.vms {
+		c.awaitReady(v)
+	}
+	c.configure()
+	return c
+}
+
+// startEndpoints starts the engines of pool "logreader" and the services of pool "quayside".
+func (c *cluster) startEndpoints(o options) {
+	llm := world.Pool{Name: "logreader", Kind: world.PoolEngine, Model: "logreader", Version: "1"}
+	for i := range max(1, o.engines) {
+		cfg := o.engine
+		cfg.Name, cfg.Model, cfg.Version, cfg.ChecksFence = fmt.Sprintf("logreader-%d", i+1), "logreader", "1", o.checksFence
+		e := standin.NewEngine(cfg)
+		c.engines[cfg.Name] = e
+		llm.Endpoints = append(llm.Endpoints, c.endpoint(cfg.Name, i, e, o.checksFence))
+	}
+	svc := world.Pool{Name: "quayside", Kind: world.PoolService}
+	for i := range max(1, o.services) {
+		cfg := o.service
+		cfg.Name = fmt.Sprintf("quayside-%d", i+1)
+		s := standin.NewService(cfg)
+		c.services[cfg.Name] = s
+		svc.Endpoints = append(svc.Endpoints, c.endpoint(cfg.Name, i, s, false))
+	}
+	c.pools[llm.Name], c.pools[svc.Name] = llm, svc
+	c.mem.SetEndpoints(llm.Name, llm.Endpoints)
+	c.mem.SetEndpoints(svc.Name, svc.Endpoints)
+}
+
+func (c *cluster) endpoint(name string, i int, h http.Handler, checksFence bool) world.Endpoint {
+	server := httptest.NewServer(h)
+	c.t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return world.Endpoint{Name: name, Addr: server.Listener.Addr().String(), FailureDomain: failureDomains[i%len(failureDomains)],
+		Class: world.OnDemand, State: world.EndpointReady, ChecksFence: checksFence}
+}
+
+// layOut chooses addresses. Each VM sees the others through links of its own, so that any pair can be cut.
+// Each has a loopback address of its own, so that its fixed ports meet neither another cluster's nor those of outgoing
+// connections, which use 127.0.0.1.
+func (c *cluster) layOut() {
+	number := int(clusters.Add(1)) % 250
+	for i := range vmCount {
+		v := &vm{index: i, links: make(map[string][2]*fault.Relay), VM: world.VM{Name: fmt.Sprintf("vm-%d", i+1), Region: region,
+			FailureDomain: failureDomains[i%len(failureDomains)], State: world.VMLive}}
+		host := fmt.Sprintf("127.%d.%d.%d", 16+os.Getpid()%200, number, i+1)
+		for port, addr := range []*string{&v.GatewayAddr, &v.GatewayPeerAddr, &v.ControllerAddr, &v.ControllerPeerAddr, &v.gatewayMetrics, &v.controllerMetrics} {
+			*addr = net.JoinHostPort(host, fmt.Sprint(7000+port))
+		}
+		log, err := os.Create(filepath.Join(c.t.TempDir(), v.Name+".log"))
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		v.log = log
+		c.t.Cleanup(func() { c.dumpLog(v) })
+		c.vms = append(c.vms, v)
+	}
+	for _, from := range c.vms {
+		for _, to := range c.vms {
+			if from != to {
+				from.links[to.Name] = [2]*fault.Relay{c.relay(to.GatewayPeerAddr), c.relay(to.ControllerPeerAddr)}
+			}
+		}
+	}
+}
+
+func (c *cluster) relay(target string) *fault.Relay {
+	r, err := fault.NewRelay(target)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.t.Cleanup(func() { r.Close() })
+	return r
+}
+
+// startPlatform serves the platform to each VM through a link of its own. Each VM gets the list of VMs with its own links.
+func (c *cluster) startPlatform() {
+	handler := standin.NewPlatform(c.mem)
+	for _, v := range c.vms {
+		mux := http.NewServeMux()
+		mux.Handle("/", handler)
+		mux.HandleFunc("GET /vms", func(w http.ResponseWriter, r *http.Request) { c.serveVMs(v, w, r) })
+		server := httptest.NewServer(mux)
+		c.t.Cleanup(func() {
+			server.CloseClientConnections()
+			server.Close()
+		})
+		v.platform = c.relay(server.Listener.Addr().String())
+	}
+	c.listVMs()
+}
+
+// listVMs puts all VMs into the platform's list.
+func (c *cluster) listVMs() {
+	var vms []world.VM
+	for _, v := range c.vms {
+		vms = append(vms, v.VM)
+	}
+	c.mem.SetVMs(vms)
+}
+
+func (c *cluster) serveVMs(v *vm, w http.ResponseWriter, r *http.Request) {
+	vms, err := c.mem.VMs(r.Context())
+	if err != nil {
+		http.Error(w, `{"error":"unavailable"}`, http.StatusServiceUnavailable)
+		return
+	}
+	for i := range vms {
+		if links, ok := v.links[vms[i].Name]; ok {
+			vms[i].GatewayPeerAddr, vms[i].ControllerPeerAddr = links[0].Addr(), links[1].Addr()
+		}
+	}
+	json.NewEncoder(w).Encode(map[string]any{"vms": vms})
+}
+
+func (c *cluster) flags(v *vm, role, peerAddr, metrics string) []string {
+	return []string{role, "--vm-name=" + v.Name, "--region=" + region, "--failure-domain=" + v.FailureDomain,
+		"--platform-url=http://" + v.platform.Addr(), "--peer-listen=" + peerAddr, "--metrics-listen=" + metrics,
+		"--usage-window=" + usageWindow.String()}
+}
+
+func (c *cluster) startController(v *vm) {
+	args := append(c.flags(v, "controller", v.ControllerPeerAddr, v.controllerMetrics), "--admin-listen="+v.ControllerAddr)
+	v.controller = c.spawn(v, args)
+}
+
+func (c *cluster) startGateway(v *vm, extra ...string) {
+	args := append(c.flags(v, "gateway", v.GatewayPeerAddr, v.gatewayMetrics), "--listen="+v.GatewayAddr, "--entry-lifetime=1s", "--drain-limit=60s")
+	v.gateway = c.spawn(v, append(args, extra...))
+}
+
+func (c *cluster) spawn(v *vm, args []string) *fault.Process {
+	p, err := fault.StartProcess(v.log, []string{"CROCUSGLADE_KEY_SECRET=" + keySecret, "CROCUSGLADE_BOOTSTRAP_CREDENTIAL=" + credential}, daemonPath, args...)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.t.Cleanup(func() { p.Kill() })
+	return p
+}
+
+// dumpLog shows a VM's log when the test has failed.
+func (c *cluster) dumpLog(v *vm) {
+	if c.t.Failed() {
+		if data, err := os.ReadFile(v.log.Name()); err == nil {
+			c.t.Logf("log of %s:\n%s", v.Name, tail(data, 4000))
+		}
+	}
+	v.log.Close()
+}
+
+func tail(data []byte, n int) []byte { return data[max(0, len(data)-n):] }
+
+func (c *cluster) awaitReady(v *vm) {
+	for _, addr := range []string{v.controllerMetrics, v.gatewayMetrics} {
+		c.await(v.Name+" to be ready", func() bool {
+			r, err := c.client.Get("http://" + addr + "/readyz")
+			if err != nil {
+				return false
+			}
+			defer r.Body.Close()
+			return r.StatusCode == http.StatusOK
+		})
+	}
+}
+
+// await waits for a condition; a run that never reaches it fails.
+func (c *cluster) await(what string, ready func() bool) {
+	c.t.Helper()
+	end := time.Now().Add(patience)
+	for !ready() {
+		if time.Now().After(end) {
+			c.t.Fatalf("waited %v for %s", patience, what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// configure applies templates, teams, pools and routes, and issues a key for each team.
+func (c *cluster) configure() {
+	for _, p := range c.pools {
+		c.put("pool", p.Name, p)
+	}
+	c.put("route", "lines", world.Route{Name: "lines", Pool: "quayside"})
+	c.put("route", "declarations", world.Route{Name: "declarations", Pool: "quayside"})
+	c.put("template", "boats", world.Template{Name: "boats", Models: []world.ModelGrant{{Model: "logreader"}},
+		Routes: []string{"lines", "declarations"}, Priority: world.PriorityNormal, Retire: world.RetireWait})
+	for _, team := range []string{"skippers", "clerks"} {
+		c.put("team", team, world.Team{Name: team, Template: "boats"})
+		c.issueKey(team)
+	}
+	for i := range c.vms {
+		for team := range c.keys {
+			c.await("the key of "+team, func() bool {
+				return c.call(i, team, http.MethodGet, "/svc/lines/ready", "", nil).status == http.StatusOK
+			})
+		}
+	}
+	c.await("engines", func() bool { return c.chat(0, "skippers", "ready", 1, false).whole })
+}
+
+// admin calls the administration API of the first controller that answers. It returns the status and the body.
+func (c *cluster) admin(method, path string, body any, header map[string]string) (int, []byte) {
+	c.t.Helper()
+	var data []byte
+	if body != nil {
+		data, _ = json.Marshal(body)
+	}
+	for _, v := range c.vms {
+		ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
+		req, err := http.NewRequestWithContext(ctx, method, "http://"+v.ControllerAddr+"/admin/v1"+path, bytes.NewReader(data))
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		req.Header.Set("Authorization", "Bearer "+credential)
+		req.Header.Set("Content-Type", "application/json")
+		for k, value := range header {
+			req.Header.Set(k, value)
+		}
+		resp, err := c.client.Do(req)
+		if err != nil {
+			cancel()
+			continue
+		}
+		out, _ := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		cancel()
+		return resp.StatusCode, out
+	}
+	return 0, nil
+}
+
+// put creates or replaces a configuration object and records the accepted revision.
+func (c *cluster) put(kind, name string, v any) uint64 {
+	c.t.Helper()
+	header := map[string]string{"If-None-Match": "*"}
+	status, body := c.admin(http.MethodGet, "/config/"+kind+"/"+name, nil, nil)
+	if status == http.StatusOK {
+		var o world.Object
+		if err := json.Unmarshal(body, &o); err != nil {
+			c.t.Fatal(err)
+		}
+		header = map[string]string{"If-Match": fmt.Sprintf("%q", fmt.Sprint(o.Version))}
+	}
+	status, body = c.admin(http.MethodPut, "/config/"+kind+"/"+name, v, header)
+	if status != http.StatusOK {
+		c.t.Fatalf("put %s/%s: %d %s", kind, name, status, body)
+	}
+	var result struct{ Version uint64 }
+	if err := json.Unmarshal(body, &result); err != nil {
+		c.t.Fatal(err)
+	}
+	c.history.AddWrite(history.ConfigWrite{Revision: result.Version, At: time.Now()})
+	return result.Version
+}
+
+// issueKey issues a key for a team and returns its id.
+func (c *cluster) issueKey(team string) string {
+	c.t.Helper()
+	status, body := c.admin(http.MethodPost, "/keys", map[string]string{"team": team}, nil)
+	var key struct{ ID, Key string }
+	if err := json.Unmarshal(body, &key); err != nil || key.Key == "" {
+		c.t.Fatalf("issue a key: %d %s", status, body)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.keys[team] = key.Key
+	return key.ID
+}
+
+// isolate cuts a VM off from the other VMs, both ways, and from the platform when withPlatform is true. Callers and
+// endpoints still reach it.
+func (c *cluster) isolate(v *vm, withPlatform bool) { c.setLinks(v, fault.Drop, withPlatform) }
+
+// heal ends an isolation.
+func (c *cluster) heal(v *vm) { c.setLinks(v, fault.Pass, true) }
+
+func (c *cluster) setLinks(v *vm, m fault.Mode, withPlatform bool) {
+	for _, other := range c.vms {
+		if other == v {
+			continue
+		}
+		for i := range 2 {
+			v.links[other.Name][i].SetMode(m)
+			other.links[v.Name][i].SetMode(m)
+		}
+	}
+	if withPlatform {
+		v.platform.SetMode(m)
+	}
+}
--- a/internal/platform/memplatform/memplatform.go
+++ b/internal/platform/memplatform/memplatform.go
@@ -62,10 +62,12 @@
 // New returns an empty, healthy platform.
 func New() *Platform {
 	return &Platform{
-		objects: make(map[objectKey]world.Object),
-		changed: make(chan struct{}),
-		pools:   make(map[string]*pool),
-		reports: make(map[string]world.UsageWindow),
+		// Revision 0 means "nothing known" to watchers, so an empty store starts at 1.
+		revision: 1,
+		objects:  make(map[objectKey]world.Object),
+		changed:  make(chan struct{}),
+		pools:    make(map[string]*pool),
+		reports:  make(map[string]world.UsageWindow),
 	}
 }
 
