controller: fewer prefix blocks to gateways that follow many endpoints

Cause: with 300 busy endpoints on 120 VMs a gateway received 2.9 KB/s of load messages, half of them prefix blocks. Change: the budget of 128 blocks a second falls to 32 from 160 endpoints on; up to 40 endpoints it stays.

--- a/internal/controller/loadserver_test.go
+++ b/internal/controller/loadserver_test.go
@@ -42,7 +42,7 @@
 		const endpoints, seconds = 200, 40
 		c, change := busyCollector(endpoints)
 		s := &LoadSubscriber{followed: endpoints}
-		out := newLoadStream(&peerpb.LoadRequest{PeriodMs: s.period().Milliseconds(), CacheBlocks: cacheBlocksPerSecond / float64(endpoints)})
+		out := newLoadStream(&peerpb.LoadRequest{PeriodMs: s.period().Milliseconds(), CacheBlocks: s.cacheBudget()})
 		change(0)
 		_, _ = c.next(out)
 		bytes := 0
--- a/internal/controller/loadsubscriber.go
+++ b/internal/controller/loadsubscriber.go
@@ -22,8 +22,10 @@
 	reportCost = 20 * time.Millisecond
 	// maxLoadPeriod bounds that period: the balancer predicts queues from the last report and what was sent since.
 	maxLoadPeriod = 5 * time.Second
-	// cacheBlocksPerSecond bounds the prefix blocks that a gateway is told of, all endpoints together: 1 KB/s.
-	cacheBlocksPerSecond = 128
+	// cacheBlocksPerSecond bounds the prefix blocks that a gateway is told of, all endpoints together, while it follows no more than
+	// fewEndpoints: 1 KB/s, and as much for their removal. With more endpoints the reports need that share, and least blocks a second stay.
+	cacheBlocksPerSecond, leastCacheBlocks = 128, 32
+	fewEndpoints                           = 40
 )
 
 // Balancer is what the subscriber feeds; *balancer.Balancer implements it.
@@ -178,6 +180,14 @@
 	return min(maxLoadPeriod, time.Duration(s.followed)*reportCost)
 }
 
+// cacheBudget is the number of prefix blocks of each endpoint that this subscriber may be told a second.
+func (s *LoadSubscriber) cacheBudget() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := float64(max(1, s.followed))
+	return min(cacheBlocksPerSecond, max(leastCacheBlocks, cacheBlocksPerSecond*fewEndpoints/n)) / n
+}
+
 // silence is how long a controller may send nothing.
 func (s *LoadSubscriber) silence() time.Duration { return max(loadSilence, 3*s.period()) }
 
@@ -205,7 +215,7 @@
 	defer silence.Stop()
 	without := s.unreachable()
 	request := &peerpb.LoadRequest{Vm: s.vm, Without: without, Endpoints: endpoints, PeriodMs: period.Milliseconds(),
-		CacheBlocks: float64(cacheBlocksPerSecond) * reportCost.Seconds() / max(period, reportCost).Seconds()}
+		CacheBlocks: s.cacheBudget()}
 	stream, err := peerpb.NewLoadClient(conn).Subscribe(ctx, request)
 	if err != nil {
 		return err
