Exchange the ends of requests between gateways

Neighbours heard of each other's sends but of ended requests only with a load report up to 850 ms later, so at 80% of the slots used many endpoints looked full and were excluded. Change: the requests of a Send are those sent less those ended; PeerSend frees slots and the mean KV memory of a request for a negative number.

--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -69,6 +69,23 @@
 	})
 }
 
+// Guards against endpoints that look full because the ends of neighbours' requests are unknown until the next report.
+func TestEndedRequestsOfNeighboursFreeSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := New(1), New(2)
+		full := engine("a", world.Load{Running: 16})
+		a.Update("p", engine("a", world.Load{}))
+		sent := choose(t, a, Request{PromptTokens: 10})
+		a.TakeSends()
+		b.Update("p", full)
+		sent.Done(Outcome{})
+		for name, s := range a.TakeSends() {
+			b.PeerSend("vm1", name, s.PromptTokens, s.Requests)
+		}
+		choose(t, b, Request{PromptTokens: 10})
+	})
+}
+
 // Guards against requests that an endpoint can't hold, and against the wrong refusal.
 func TestLimitsAndRefusals(t *testing.T) {
 	b := New(1)
--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -189,6 +189,11 @@
 	}
 	now := time.Now()
 	c.state.removeOwn(c.work, now)
+	if b.endpoints[c.state.Name] == c.state {
+		ended := b.pending[c.state.Name]
+		ended.Requests--
+		b.pending[c.state.Name] = ended
+	}
 	c.state.observe(o)
 	c.state.ejection.record(c.state.pool, o.Failed, c.probe, now)
 }
--- a/internal/balancer/state.go
+++ b/internal/balancer/state.go
@@ -103,22 +103,24 @@
 	}
 }
 
-// PeerSend records prompt tokens that a neighbour sent to an endpoint.
+// PeerSend records work that a neighbour sent to an endpoint, as its TakeSends returned it.
 func (b *Balancer) PeerSend(vm, endpoint string, promptTokens int64, requests int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if s := b.endpoints[endpoint]; s != nil {
-		s.addWork(work{at: time.Now(), tokens: float64(promptTokens), requests: requests, pieces: pieces(int(promptTokens))})
+		s.addWork(work{at: time.Now(), tokens: float64(promptTokens), requests: requests, pieces: int(s.pool.meanPieces * float64(requests))})
 	}
 }
 
-// Send counts work sent to an endpoint. PromptTokens leaves out tokens expected in the endpoint's prefix cache.
+// Send counts work sent to an endpoint. PromptTokens leaves out tokens expected in the endpoint's prefix cache. Requests is the
+// number sent less the number ended, so it may be negative: without the ended ones, neighbours would take a busy endpoint for
+// full until its next report.
 type Send struct {
 	PromptTokens int64
 	Requests     int
 }
 
-// TakeSends returns and clears prompt tokens and requests sent to each endpoint since the last call, for neighbours.
+// TakeSends returns and clears the work sent to each endpoint since the last call, for neighbours.
 func (b *Balancer) TakeSends() map[string]Send {
 	b.mu.Lock()
 	defer b.mu.Unlock()
