--- /dev/null
+++ b/internal/roles/roles_test.go
@@ -0,0 +1,75 @@
+package roles
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+func testPool(prefill, decode float64) Pool {
+	pool := Pool{Name: "p", ChangeTime: 5 * time.Second, Demand: Demand{PrefillShort: prefill, DecodeShort: decode},
+		Capacities: map[world.Role]Capacity{
+			world.RolePrefill: {16000, 250}, world.RoleMixed: {10000, 640}, world.RoleDecode: {4000, 1000}}}
+	for i := range 9 {
+		pool.Endpoints = append(pool.Endpoints, Endpoint{Name: fmt.Sprint("e", i), FailureDomain: fmt.Sprint("d", i%3), Role: world.RoleMixed})
+	}
+	return pool
+}
+
+// Guards against role flapping: demand that swings every half minute must not move roles each time.
+func TestRolesDoNotFlap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := NewPlanner()
+		pool := testPool(0, 0)
+		changes := 0
+		for step := range 60 {
+			pool.Demand = Demand{PrefillShort: 95000, DecodeShort: 2000}
+			if step%2 == 1 {
+				pool.Demand = Demand{PrefillShort: 40000, DecodeShort: 6000}
+			}
+			if c := p.Plan(pool); c != nil {
+				changes++
+				for i := range pool.Endpoints {
+					if pool.Endpoints[i].Name == c.Endpoint {
+						pool.Endpoints[i].Role = c.Role
+					}
+				}
+			}
+			time.Sleep(30 * time.Second)
+		}
+		if changes > 2 {
+			t.Errorf("%d changes in 60 swings", changes)
+		}
+	})
+}
+
+// planConfirmed plans until a change that pays is confirmed.
+func planConfirmed(pool Pool) *Proposal {
+	p := NewPlanner()
+	p.Plan(pool)
+	time.Sleep(confirm)
+	return p.Plan(pool)
+}
+
+// Guards against changes without need, during another loss, and of engines that are out.
+func TestNoChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		loss := testPool(95000, 1000)
+		loss.PlannedLoss = true
+		out := testPool(95000, 1000)
+		for i := range out.Endpoints {
+			out.Endpoints[i].Out = true
+		}
+		for name, pool := range map[string]Pool{"served": testPool(60000, 3000), "planned loss": loss, "all out": out, "idle": testPool(0, 0)} {
+			if c := planConfirmed(pool); c != nil {
+				t.Errorf("%s: proposed %+v", name, c)
+			}
+		}
+		if c := planConfirmed(testPool(95000, 1000)); c == nil || c.Role != world.RolePrefill || c.Reason == "" {
+			t.Errorf("prompt swing: proposed %+v", c)
+		}
+	})
+}
