Bound work at engines by their predicted queue and measure floods

Change: Capacity counts memory promised to waiting requests, a quarter second of prefill queue and the places taken since the last exchange; endpoints with a queue of 1.5 s are saturated. Demand averages over 0.7 s.

--- a/internal/admission/limits.go
+++ b/internal/admission/limits.go
@@ -9,14 +9,17 @@
 )
 
 const (
-	// demandTime is the averaging time of demand. A shorter one follows single requests, a longer one lags behind moving
-	// demand.
-	demandTime = 2 * time.Second
+	// demandTime is the averaging time of demand. With 2 s, a fifth of a limit was left unused for 10 s after demand had moved
+	// to another gateway; 1 s still left more than a tenth.
+	demandTime = 700 * time.Millisecond
 	// burstTime is the time's worth of a limit that a team may use at once.
 	burstTime = 500 * time.Millisecond
 	// shareTime is the time over which a gateway's share of a limit grows after a rise of its own demand. Gateways whose
 	// demand rises together would else all count on the whole limit until they hear of each other.
-	shareTime = time.Second
+	shareTime = 250 * time.Millisecond
+	// concurrentTime is the same for concurrent requests. It is longer than the time between two exchanges, since a request
+	// in progress can't be taken back.
+	concurrentTime = time.Second
 	// shareIdle is the time without requests after which a gateway's share counts as unknown.
 	shareIdle = 10 * time.Second
 )
@@ -202,7 +205,7 @@
 }
 
 // concurrentShare returns how many requests of a team this gateway may have: its part by demand, which it reaches over
-// shareTime when that is above an even division, since gateways that start together do not know of each other yet.
+// concurrentTime when that is above an even division, since gateways that start together do not know of each other yet.
 func (q *Queue) concurrentShare(t *team, limit int, now time.Time) int {
 	if len(q.peers) == 0 {
 		return limit
@@ -216,7 +219,7 @@
 	}
 	t.concurrentAt = now
 	if float64(target) > t.concurrent {
-		t.concurrent += (float64(target) - t.concurrent) * (1 - math.Exp(-elapsed.Seconds()/shareTime.Seconds()))
+		t.concurrent += (float64(target) - t.concurrent) * (1 - math.Exp(-elapsed.Seconds()/concurrentTime.Seconds()))
 	} else {
 		t.concurrent = float64(target)
 	}
--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -154,7 +154,7 @@
 	s := c.state
 	w := work{at: now, tokens: float64(r.PromptTokens - c.cached), requests: 1, pieces: pieces(r.PromptTokens-c.cached) + pieces(r.OutputTokens)}
 	s.addOwn(w)
-	s.pool.notePieces(w.pieces)
+	s.pool.noteSize(w)
 	probe := s.ejection.beginProbe(now)
 	sent := b.pending[s.Name]
 	sent.PromptTokens += int64(w.tokens)
--- a/internal/balancer/state.go
+++ b/internal/balancer/state.go
@@ -14,6 +14,14 @@
 	defaultPrefillRate = 8000
 	// defaultResponse in seconds is assumed for a plain service before its first answer.
 	defaultResponse = 0.02
+	// maxQueueTime in seconds of predicted prefill queue bounds the capacity that an endpoint gives to admission. More
+	// requests wait in the fair queue, where classes and teams keep their shares, and not at the endpoint. The queue must
+	// outlast the time until the next update of the capacity, else the endpoint runs idle. A choice may go beyond it, since
+	// the holder of a prefix can be best in spite of its queue.
+	maxQueueTime = 0.25
+	// saturatedQueueTime in seconds excludes an endpoint. Engines serve urgent requests first, so less urgent ones would
+	// wait without bound in a longer queue.
+	saturatedQueueTime = 1.5
 	// responseWeight is the weight of the newest answer in the moving average of response times.
 	responseWeight = 0.1
 )
@@ -197,14 +205,23 @@
 }
 
 // predictFirstToken returns the predicted seconds to the first token of a request with the given uncached prompt tokens.
-// Half of this gateway's tokens without a first token bound the queue from below: an endpoint that has stopped working
-// would else look idle once its predicted queue has run out.
 func (s *endpointState) predictFirstToken(uncached int, now time.Time) float64 {
 	if s.Load.PrefillRate <= 0 && uncached == 0 {
 		return s.predictResponse()
 	}
-	queue := max(s.queueNow(now), s.ownPrefill/2)
-	return (float64(uncached) + queue) / s.prefillRate()
+	return float64(uncached)/s.prefillRate() + s.queueTime(now)
+}
+
+// queueTime returns the predicted seconds until the endpoint has worked off its prefill queue. Half of this gateway's tokens
+// without a first token bound it from below: an endpoint that has stopped working would else look idle once its predicted
+// queue has run out.
+func (s *endpointState) queueTime(now time.Time) float64 {
+	return max(s.queueNow(now), s.ownPrefill/2) / s.prefillRate()
+}
+
+// freePieces predicts the free KV pieces. Requests that wait at the endpoint will take memory that still counts as free.
+func (s *endpointState) freePieces() int {
+	return s.Load.KVFree - s.pieces - int(s.pool.meanPieces*float64(s.Load.Waiting))
 }
 
 // predictResponse is the prediction for a plain service, which has no prefill.
@@ -260,13 +277,13 @@
 	if s.ejection.excluded(now) || !s.serves(r) {
 		return false
 	}
-	if s.Load.Slots > 0 && s.running() >= s.Load.Slots {
+	if s.Load.Slots > 0 && s.running() >= s.Load.Slots || s.queueTime(now) > saturatedQueueTime {
 		return false
 	}
 	if s.Load.KVTotal == 0 {
 		return true
 	}
-	free := s.Load.KVFree - s.pieces - pieces(r.OutputTokens)
+	free := s.freePieces() - pieces(r.OutputTokens)
 	if free >= pieces(r.PromptTokens) {
 		return true
 	}
--- a/internal/balancer/subset.go
+++ b/internal/balancer/subset.go
@@ -28,19 +28,21 @@
 	widened   int // the base subset is doubled so many times
 	pressed   int // choices in a row under pressure
 	changedAt time.Time
-	// meanPieces is a moving average of the KV pieces of a request.
+	// meanPieces and meanTokens are moving averages of the KV pieces and the uncached prompt tokens of a request.
 	meanPieces float64
+	meanTokens float64
 }
 
-// piecesWeight is the weight of the newest request in the moving average of KV pieces.
-const piecesWeight = 0.02
+// sizeWeight is the weight of the newest request in the moving averages of sizes.
+const sizeWeight = 0.02
 
-func (p *pool) notePieces(n int) {
+func (p *pool) noteSize(w work) {
 	if p.meanPieces == 0 {
-		p.meanPieces = float64(n)
+		p.meanPieces, p.meanTokens = float64(w.pieces), w.tokens
 		return
 	}
-	p.meanPieces += piecesWeight * (float64(n) - p.meanPieces)
+	p.meanPieces += sizeWeight * (float64(w.pieces) - p.meanPieces)
+	p.meanTokens += sizeWeight * (w.tokens - p.meanTokens)
 }
 
 // order sorts the members by their rendezvous weight for this gateway. Gateways with different keys get different subsets,
@@ -124,35 +126,46 @@
 	}
 	gateways = max(1, gateways)
 	now := time.Now()
-	own, free, open := 0, 0, false
+	own, free, untold, open := 0, 0, 0, false
 	for _, s := range p.members {
 		own += s.ownRequests
+		untold += b.pending[s.Name].Requests
 		if !s.serves(&Request{}) || s.ejection.excluded(now) {
 			continue
 		}
 		open = true
 		tokensPerSecond += s.prefillRate()
-		free += s.freePlaces()
+		free += s.freePlaces(now)
 	}
 	if !open {
 		return 0, 0
 	}
-	share := (free + gateways - 1) / gateways
+	// Neighbours count the places that this gateway has taken since the last exchange as free, so they are part of what is
+	// divided and of this gateway's share.
+	share := max(0, (free+untold+gateways-1)/gateways-untold)
 	return max(1, own+share), tokensPerSecond / float64(gateways)
 }
 
 // defaultSlots is assumed for an endpoint that does not report its slots.
 const defaultSlots = 32
 
-// freePlaces returns how many more requests of the pool's mean size the endpoint holds.
-func (s *endpointState) freePlaces() int {
+// freePlaces returns how many more requests of the pool's mean size the endpoint takes: by slots, memory and prefill queue.
+func (s *endpointState) freePlaces(now time.Time) int {
 	slots := s.Load.Slots
 	if slots == 0 {
 		slots = defaultSlots
 	}
 	free := slots - s.running()
 	if s.Load.KVTotal > 0 && s.pool.meanPieces >= 1 {
-		free = min(free, int(float64(s.Load.KVFree-s.pieces)/s.pool.meanPieces))
+		free = min(free, int(float64(s.freePieces())/s.pool.meanPieces))
+	}
+	queue := s.queueTime(now)
+	if s.pool.meanTokens > 0 {
+		// One request may begin while the queue is below its limit, however long it is itself.
+		free = min(free, 1+int((maxQueueTime-queue)*s.prefillRate()/s.pool.meanTokens))
+	}
+	if queue > maxQueueTime {
+		return 0
 	}
 	return max(0, free)
 }
--- a/internal/measure/cluster_test.go
+++ b/internal/measure/cluster_test.go
@@ -21,8 +21,10 @@
 	gateways = 4
 	// oneWay is the time between two failure domains.
 	oneWay = 1500 * time.Microsecond
-	// Gateways exchange sends and demand so often; the capacity of a pool is updated at the same time.
+	// Gateways exchange sends and demand so often.
 	exchangeEvery = 200 * time.Millisecond
+	// capacityEvery is the time between two updates of the capacity that admission uses.
+	capacityEvery = 50 * time.Millisecond
 	// Load reports are taken so often and arrive after reportLag.
 	reportEvery = 250 * time.Millisecond
 	reportLag   = 300 * time.Millisecond
@@ -30,8 +32,6 @@
 	eventEvery = 500 * time.Millisecond
 	eventLag   = time.Second
 	eventLoss  = 0.05
-	// coldStart is the time of a crashed engine until it serves again.
-	coldStart = 60 * time.Second
 )
 
 // rules says which rule decides in a run.
@@ -100,6 +100,10 @@
 			background.Go(func() { c.cacheEvents(ctx, c.engines[name], seed) })
 		}
 		background.Go(func() { c.exchange(ctx) })
+		background.Go(func() {
+			for c.setCapacities(); pause(ctx, nil, capacityEvery) == nil; c.setCapacities() {
+			}
+		})
 		if r.disturb != nil {
 			background.Go(func() { r.disturb(ctx, c) })
 		}
@@ -206,10 +210,9 @@
 	}
 }
 
-// exchange tells each gateway of the others' sends and demand, and sets the capacity that admission may use.
+// exchange tells each gateway of the others' sends and demand.
 func (c *cluster) exchange(ctx context.Context) {
 	for {
-		c.setCapacities()
 		type news struct {
 			sends  map[string]balancer.Send
 			demand map[string]admission.Demand
--- a/internal/measure/engine_test.go
+++ b/internal/measure/engine_test.go
@@ -54,7 +54,6 @@
 
 type job struct {
 	work     *request
-	seq      int
 	turn     chan struct{}
 	uncached float64
 	pieces   int
