--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -154,6 +154,7 @@
 	s := c.state
 	w := work{at: now, tokens: float64(r.PromptTokens - c.cached), requests: 1, pieces: pieces(r.PromptTokens-c.cached) + pieces(r.OutputTokens)}
 	s.addOwn(w)
+	s.pool.noteSize(w)
 	probe := s.ejection.beginProbe(now)
 	sent := b.pending[s.Name]
 	sent.PromptTokens += int64(w.tokens)
@@ -188,6 +189,11 @@
 	}
 	now := time.Now()
 	c.state.removeOwn(c.work, now)
+	if b.endpoints[c.state.Name] == c.state {
+		ended := b.pending[c.state.Name]
+		ended.Requests--
+		b.pending[c.state.Name] = ended
+	}
 	c.state.observe(o)
 	c.state.ejection.record(c.state.pool, o.Failed, c.probe, now)
 }
