Run the planners of roles, fleet and cleaning

Cause: controllers held the orders of pools without planning anything. Change: gateways count the demand of each pool, refused requests included; the holder of a pool's orders reads the counters and averages them. Adapters feed the three planners. An endpoint without a cleaning record gets one that is spread over half a period, or a new pool would clean all its endpoints one after another. Ruled out: demand from load reports, which show served and not asked work.

--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -38,6 +38,7 @@
 	collector *controller.Collector
 	fleet     *fleetTable
 	endpoints *endpoint.Client
+	demand    *demandReader
 }
 
 // ControllerParts constructs the parts of a controller.
@@ -57,6 +58,7 @@
 		Part{Name: "provider lists", Run: c.directory.Run},
 		Part{Name: "collector", Run: c.collector.Run},
 		Part{Name: "load", Run: loads.Run},
+		Part{Name: "demand", Run: c.demand.Run},
 		Part{Name: "orders", Run: c.runOrders},
 		Part{Name: "usage windows", Run: c.runUsage},
 		Part{Name: "claims", Run: c.runClaims},
@@ -75,7 +77,7 @@
 func newControllerNode(base *node) *controllerNode {
 	source := config.NewSource(base.platform, base.holder, base.freshness)
 	subscriber := config.NewSubscriber(base.settings.VMName, "controller", base.holder, base.freshness, base.members.Parents, base.clients.DialController)
-	c := &controllerNode{node: base, endpoints: endpoint.New(base.endpointOptions())}
+	c := &controllerNode{node: base, endpoints: endpoint.New(base.endpointOptions()), demand: newDemandReader(base.members, base.clients)}
 	c.supply = config.NewSupply(base.settings.VMName, base.members.All, source, subscriber)
 	c.relay = config.NewRelay(base.holder, base.freshness)
 	c.directory = controller.NewDirectory(base.settings.VMName, base.holder, base.members, base.platform, base.clients.DialController)
@@ -123,7 +125,7 @@
 func (c *controllerNode) orders(pool string) *duty.Orders {
 	return &duty.Orders{Pool: pool, Holder: c.holderName(), Store: c.platform, Fleet: c.fleet, Log: c.telemetry.Log,
 		NewProvider: func(a *lease.Authority) platform.Provider { return c.boundPlatform(a) },
-		NewPlanners: newPlanners}
+		NewPlanners: c.newPlanners}
 }
 
 // boundPlatform returns a platform client whose connections end with the authority.
@@ -313,6 +315,3 @@
 	}
 	return client.GetStatus(ctx, &peerpb.StatusRequest{})
 }
-
-// newPlanners returns the planners of a term, in order of precedence.
-func newPlanners() []duty.Planner { return nil }
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -53,6 +53,7 @@
 	readiness  *peer.Readiness
 	neighbours *neighbours
 	entry      *entry
+	demand     *demandMeter
 }
 
 // GatewayParts constructs the parts of a gateway.
@@ -85,7 +86,7 @@
 
 func newGatewayNode(base *node, s *settings.Gateway) *gatewayNode {
 	g := &gatewayNode{node: base, admission: admission.New(), balancer: balancer.New(seed(base.incarnation)),
-		quarantine: retry.NewQuarantine(quarantineFor), burn: burn.NewRecorder(burn.DefaultObjective)}
+		quarantine: retry.NewQuarantine(quarantineFor), burn: burn.NewRecorder(burn.DefaultObjective), demand: newDemandMeter()}
 	g.admission.SetSelf(s.VMName)
 	g.holder.OnChange(g.configureAdmission)
 	g.neighbours = newNeighbours(g.admission, g.balancer, g.quarantine)
@@ -191,6 +192,7 @@
 // came within the team's target.
 func (g *gatewayNode) observe(o gateway.Observation) {
 	ctx := context.Background()
+	g.demand.observe(o)
 	target := world.DefaultFirstTokenTarget
 	if t := g.holder.Current().Team(o.Team); t != nil && t.FirstTokenTargetMS > 0 {
 		target = time.Duration(t.FirstTokenTargetMS) * time.Millisecond
--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -238,7 +238,7 @@
 // PeerStatus implements peer.StatusSource.
 func (s *gatewayService) PeerStatus() *peerpb.StatusResponse {
 	return &peerpb.StatusResponse{Draining: s.gateway.Draining(), Ready: s.readiness.Ready(), InFlight: int32(s.gateway.InFlight()),
-		Attempts: s.gateway.Attempts()}
+		Attempts: s.gateway.Attempts(), Demand: s.demand.messages()}
 }
 
 // PeerBurn implements peer.BurnSource.
--- a/internal/duty/orders.go
+++ b/internal/duty/orders.go
@@ -42,8 +42,8 @@
 	// NewProvider returns a provider client whose connections are bound to the authority.
 	NewProvider func(a *lease.Authority) platform.Provider
 	Fleet       Fleet
-	// NewPlanners returns fresh planners for a term, in order of precedence.
-	NewPlanners func() []Planner
+	// NewPlanners returns fresh planners for a term, in order of precedence, and a function that ends their use.
+	NewPlanners func() (planners []Planner, release func())
 	Log         zerolog.Logger
 	// Control, when not nil, replaces the control protocol of engines; for tests.
 	Control order.Control
@@ -69,7 +69,8 @@
 	}
 	var actions sync.WaitGroup
 	defer o.revokeLeadership(&actions)
-	planners := o.NewPlanners()
+	planners, release := o.NewPlanners()
+	defer release()
 	ticker := time.NewTicker(planEvery)
 	defer ticker.Stop()
 	for a.Valid() {
@@ -110,6 +111,9 @@
 	if v.PlannedLoss == "" && o.startLeftOver(a, d, v, actions) {
 		return
 	}
+	if recordFirstSeen(a.Context(), d, v) {
+		return
+	}
 	for _, planner := range planners {
 		p, ok := planner.Plan(v)
 		if !ok {
