Give engines two priorities, urgent and other

Cause: under a flood of normal requests, batch requests that admission had let through waited up to 26 s at the engines of lk-west, since engines serve priorities strictly and know no floor. Change: admission.EnginePriority maps an admitted request to the priority for the engine: urgent, or one for all others.

--- a/internal/admission/predict.go
+++ b/internal/admission/predict.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"crocusglade.example/crocusglade/internal/world"
 )
 
 const (
@@ -73,3 +75,10 @@
 	// Behind an urgent queue the class is served at least at its floor.
 	return min((float64(urgent)+ahead)/rate, (ahead+float64(w.tokens))/(classFloor*rate))
 }
+
+// EnginePriority returns the priority that an engine is given for an admitted request; lower runs first. Admission has
+// already served the lower classes their floor, so only urgent requests go first at the engine: engines serve priorities
+// strictly, and batch requests else waited there for up to 26 s while a flood of normal ones was admitted.
+func EnginePriority(p world.Priority) int {
+	return min(classOf(p), int(world.PriorityNormal))
+}
--- a/internal/measure/engine_test.go
+++ b/internal/measure/engine_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"crocusglade.example/crocusglade/internal/admission"
 	"crocusglade.example/crocusglade/internal/balancer"
 	"crocusglade.example/crocusglade/internal/world"
 )
@@ -117,7 +118,7 @@
 // insert keeps the order of priority, then of arrival.
 func insert(queue []*job, j *job) []*job {
 	i := len(queue)
-	for i > 0 && queue[i-1].work.priority > j.work.priority {
+	for i > 0 && admission.EnginePriority(queue[i-1].work.priority) > admission.EnginePriority(j.work.priority) {
 		i--
 	}
 	return slices.Insert(queue, i, j)
