Print a crocusgladectl line at the end of the demo

Cause: the demo's credential is random and was not shown, so nobody could use the command line against the running demo. Change: the demo prints a line that lists the endpoints.

--- a/cmd/localfleet/sample.go
+++ b/cmd/localfleet/sample.go
@@ -132,8 +132,10 @@
 	return err == nil && response.StatusCode == http.StatusOK && bytes.Contains(body, []byte("logreader"))
 }
 
-// printCurl prints a line that sends a request by hand.
+// printCurl prints lines that send a request and look at the fleet by hand. The credential is random and ends with the fleet.
 func (f *fleet) printCurl(key string) {
 	fmt.Printf("\ntry it:\n  curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' "+
 		"-H 'Content-Type: application/json' -d '%s'\n", f.vms[0].GatewayAddr, key, chatBody(1))
+	fmt.Printf("  CROCUSGLADE_CREDENTIAL=%s %s --server=http://%s endpoints\n", f.credential, filepath.Join(f.programs, "crocusgladectl"),
+		f.vms[0].ControllerAddr)
 }
