--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -196,7 +196,12 @@
 
 func benchmarkChoose(b *testing.B, n int) {
 	lb := New(1)
-	withEngines(lb, n)
+	for i := range n {
+		e := engine(fmt.Sprintf("e%03d", i), world.Load{})
+		// The benchmark sends far more than any engine serves, and must not measure refusals.
+		e.Load.PrefillRate = 1e13
+		lb.Update("p", e)
+	}
 	prefix := make([]uint64, 256)
 	for i := range prefix {
 		prefix[i] = uint64(i) + 1
--- a/internal/measure/lessons_test.go
+++ b/internal/measure/lessons_test.go
@@ -17,6 +17,8 @@
 		"Demand averaged over 2 s left a fifth of a team's limit unused for 10 s after its demand had moved.",
 		"Telling neighbours of a death with the next exchange is too late: the caller repeats the request before. They are told\n  before the caller is answered.",
 		"A dwell time of each engine alone does not stop role flapping: with demand that turned every half minute the pool made 50\n  changes in 60 turns. A change must have paid for 20 s, and the pool as a whole waits before it turns back.",
+		"Over a slow day, noise lasted for 20 s often enough to make 3.6 changes a swing. While the ratio is within a quarter of\n  its long average a change must have paid for 5 minutes; that costs a point of goodput in the slow swing.",
+		"Retries saved before a pool begins to fail come on top of its budget, so a first try earns a little less than the ratio.",
 	} {
 		r.WriteString("- " + lesson + "\n")
 	}
--- a/internal/measure/limits_test.go
+++ b/internal/measure/limits_test.go
@@ -104,7 +104,7 @@
 				t.Errorf("a limit was missed by %.1f%% in an interval of 10 s", 100*w)
 			}
 		}
-		defer func() { r.printf("Target %s.\n\n", verdict(worst.scaled(1).mean() <= 0.1)) }()
+		defer func() { r.printf("Target %s.\n\n", verdictOfAll(worst, 0.1)) }()
 	}
 	r.table([]string{"rule", "least used", "most used"}, rows)
 	t.Logf("%v", rows)
--- a/internal/measure/measure_test.go
+++ b/internal/measure/measure_test.go
@@ -161,6 +161,17 @@
 	return "**missed**"
 }
 
+// verdictOfAll states whether a figure is within its bound for all seeds.
+func verdictOfAll(s series, bound float64) string {
+	switch {
+	case slices.Max(s) <= bound:
+		return "met"
+	case s.mean() <= bound:
+		return "met on average, **missed** by some seeds"
+	}
+	return "**missed**"
+}
+
 // runLength is the length of a run in virtual time.
 func runLength() time.Duration {
 	if short() {
--- a/internal/measure/roles_test.go
+++ b/internal/measure/roles_test.go
@@ -237,7 +237,7 @@
 		r.printf("The load-factor rule and the threshold serve more in this model, which charges a change with 5 s of one engine and with\n")
 		r.printf("no moved stream or lost prefix cache. They need many times the changes allowed, so neither is kept.\n\n")
 		r.printf("Targets: 95%% of the clairvoyant choice %s; above every baseline %s; at most two changes a swing %s.\n\n",
-			verdict(ours >= 0.95), verdict(above), verdict(changes.mean() <= 2))
+			verdict(ours >= 0.95), verdict(above), verdictOfAll(changes, 2))
 		t.Logf("%s %v", w.name, rows)
 		if ours < figures["no change"].mean() {
 			t.Errorf("%s: role changes lose goodput", w.name)
