Keep the newest report and refuse at once without capacity

Cause: an update without a report, or an older report from before a restart, forgot the endpoint's prefix cache and its sends; a pool without endpoints was refused as an unreachable deadline of an hour.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -177,6 +177,9 @@
 		p.admitNow(w)
 		return w, nil
 	}
+	if p.concurrent <= 0 {
+		return nil, noCapacityError(r.Pool)
+	}
 	if wait := p.predictWait(w); wait > maxWait.Seconds() || !latest.IsZero() && wait > latest.Sub(now).Seconds() {
 		e := deadlineError(r.Pool, time.Duration(min(wait, maxReported.Seconds())*float64(time.Second)))
 		e.RetryAfterSeconds = int(min(wait, maxReported.Seconds())) + 1
@@ -235,6 +238,13 @@
 		"the request would wait about %v for pool %s, longer than its deadline allows", wait.Round(time.Millisecond), pool)
 }
 
+func noCapacityError(pool string) *apierror.Error {
+	e := apierror.New(apierror.Unavailable, "retry after the stated time; if it persists, an operator should check the pool with 'crocusgladectl endpoints'",
+		"pool %s has no endpoint that takes work", pool)
+	e.RetryAfterSeconds = 1
+	return e
+}
+
 func queueFullError(pool string) *apierror.Error {
 	e := apierror.New(apierror.Overloaded, "send fewer requests at once, or retry after the stated time",
 		"the queue of pool %s is full", pool)
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -81,6 +81,11 @@
 			t.Fatal(err)
 		}
 		submit(t, q, 5, Request{Team: "a", Pool: "p", Tokens: 1000}, make(chan string, 5))
+		q.SetCapacity("empty", 0, 0)
+		var none *apierror.Error
+		if _, err := q.Acquire(t.Context(), Request{Team: "a", Pool: "empty"}); !errors.As(err, &none) || none.Kind != apierror.Unavailable {
+			t.Errorf("pool without capacity: %v", err)
+		}
 		check := func(within time.Duration) {
 			t.Helper()
 			start := time.Now()
--- a/internal/admission/predict.go
+++ b/internal/admission/predict.go
@@ -46,9 +46,6 @@
 // predictWait returns the predicted wait in seconds of a request that would now be queued. Ahead of it are the waiting work
 // of more urgent classes, and of its own class what fair queuing serves before its team's next turn.
 func (p *pool) predictWait(w *waiter) float64 {
-	if p.concurrent <= 0 {
-		return math.Inf(1)
-	}
 	rate := p.measured.value(p.rate)
 	if rate <= 0 {
 		return 0
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -86,6 +86,26 @@
 	})
 }
 
+// Guards against a late report, or a change of state without a report, that undoes a newer report or forgets the cache.
+func TestOldReportChangesStateOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New(1)
+		b.Update("p", engine("a", world.Load{Instance: "i2", QueuedPrefillTokens: 1000}))
+		b.CacheEvent("a", []uint64{1}, nil, false)
+		old := engine("a", world.Load{Instance: "i1"})
+		old.ReportedAt = time.Time{}
+		b.Update("p", old)
+		if c := choose(t, b, Request{}); c.Instance != "i2" || c.Predicted != 100*time.Millisecond || len(b.index) != 1 {
+			t.Errorf("instance %s, predicted %v, %d blocks", c.Instance, c.Predicted, len(b.index))
+		}
+		old.NoNewWork = true
+		b.Update("p", old)
+		if _, err := b.Choose(Request{Pool: "p"}); err == nil {
+			t.Error("chose an endpoint that takes no new work")
+		}
+	})
+}
+
 // Guards against requests that an endpoint can't hold, and against the wrong refusal.
 func TestLimitsAndRefusals(t *testing.T) {
 	b := New(1)
--- a/internal/balancer/state.go
+++ b/internal/balancer/state.go
@@ -67,13 +67,13 @@
 	if s == nil {
 		s = b.add(poolName, e)
 	}
+	if e.ReportedAt.Before(s.ReportedAt) {
+		e.Load, e.ReportedAt = s.Load, s.ReportedAt
+	}
 	if e.Load.Instance != s.Load.Instance {
 		b.index.reset(s)
 		s.since, s.requests, s.pieces = nil, 0, 0
 	}
-	if e.ReportedAt.Before(s.ReportedAt) {
-		e.Load, e.ReportedAt = s.Load, s.ReportedAt
-	}
 	s.Endpoint = e
 	s.replay()
 }
