--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -81,6 +81,11 @@
 			t.Fatal(err)
 		}
 		submit(t, q, 5, Request{Team: "a", Pool: "p", Tokens: 1000}, make(chan string, 5))
+		q.SetCapacity("empty", 0, 0)
+		var none *apierror.Error
+		if _, err := q.Acquire(t.Context(), Request{Team: "a", Pool: "empty"}); !errors.As(err, &none) || none.Kind != apierror.Unavailable {
+			t.Errorf("pool without capacity: %v", err)
+		}
 		check := func(within time.Duration) {
 			t.Helper()
 			start := time.Now()
@@ -124,6 +129,8 @@
 		}
 		first.Release(10)
 		first.Release(10)
+		q.mu.Lock()
+		defer q.mu.Unlock()
 		if p := q.pools["p"]; p.waiting != 0 || p.inFlight != 0 || q.teams["a"].running != 0 {
 			t.Errorf("left over: %d waiting, %d in flight", p.waiting, p.inFlight)
 		}
