Tell neighbours of a death before the caller is answered

Cause: deaths travelled with the next exchange. Change: ReportDeath is acknowledged by each live neighbour, for at most 250 ms, and the exchange stays as the way for those that did not answer. Admission learns of capacity every 50 ms and engines get two priorities, as measured. Ruled out: waking the exchange early, which does not tell when a neighbour has recorded the death.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -31,8 +31,8 @@
 	retryRatio = 0.1
 	// quarantineFor is how long a request that crashed endpoints is refused.
 	quarantineFor = 10 * time.Minute
-	// capacityEvery is how often admission learns of the pools' capacity.
-	capacityEvery = 250 * time.Millisecond
+	// capacityEvery is how often admission learns of the pools' capacity. The measurements of admission use the same period.
+	capacityEvery = 50 * time.Millisecond
 	// readyEvery is how often readiness is looked at.
 	readyEvery = 100 * time.Millisecond
 	// forgetUsageAfter is how long counters of closed windows are kept.
@@ -106,6 +106,7 @@
 		HandOver: claims.Flush, Log: g.telemetry.Log, EntryLifetime: s.EntryLifetime,
 	})
 	g.neighbours.draining = g.gateway.Draining
+	g.neighbours.tellDeath = g.mesh.TellDeath
 	return g
 }
 
--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -29,6 +29,7 @@
 	balancer   *balancer.Balancer
 	quarantine *retry.Quarantine
 	draining   func() bool
+	tellDeath  func(context.Context, peer.Death)
 
 	mu     sync.Mutex
 	deaths []peer.Death
@@ -68,11 +69,14 @@
 // Draining implements peer.Local.
 func (n *neighbours) Draining() bool { return n.draining() }
 
-// died tells neighbours that an endpoint died under a request.
+// died tells neighbours that an endpoint died under a request, and returns once they know: the caller may repeat the request at
+// one of them at once.
 func (n *neighbours) died(fingerprint uint64, endpoint string) {
+	death := peer.Death{Fingerprint: fingerprint, Endpoint: endpoint}
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.deaths = append(n.deaths, peer.Death{Fingerprint: fingerprint, Endpoint: endpoint})
+	n.deaths = append(n.deaths, death)
+	n.mu.Unlock()
+	n.tellDeath(context.Background(), death)
 }
 
 // NeighbourDemand implements peer.Remote. The message holds changed teams only.
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -140,7 +140,7 @@
 		delete(m.fields, name)
 	}
 	m.set("model", model)
-	m.set("priority", int(m.priority))
+	m.set("priority", admission.EnginePriority(m.priority))
 	m.set("cache_salt", salt)
 	if adapter != "" {
 		m.set("adapter", adapter)
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -24,6 +24,8 @@
 	// redialPeriod is the wait before a lost exchange is set up again.
 	redialPeriod = 500 * time.Millisecond
 	// snapshotPatience is how long a neighbour's revision may be larger before its snapshot is fetched; a relay normally
+	// deathTimeout bounds the report of a death, because a caller waits for it.
+	deathTimeout = 250 * time.Millisecond
 	// delivers within a second.
 	snapshotPatience = 2 * time.Second
 )
@@ -315,6 +317,27 @@
 	}
 }
 
+// TellDeath tells all live neighbours of a death and returns once they have recorded it, or after 250 ms. A neighbour that did not
+// answer learns of it by the exchange.
+func (m *Mesh) TellDeath(ctx context.Context, d Death) {
+	ctx, cancel := context.WithTimeout(ctx, deathTimeout)
+	defer cancel()
+	var calls sync.WaitGroup
+	for _, vm := range m.members.Neighbours() {
+		if !m.Alive(vm.Name) {
+			continue
+		}
+		client, err := m.clients.Gateway(vm)
+		if err != nil {
+			continue
+		}
+		calls.Go(func() {
+			_, _ = client.ReportDeath(ctx, &peerpb.EndpointDeath{Fingerprint: d.Fingerprint, Endpoint: d.Endpoint})
+		})
+	}
+	calls.Wait()
+}
+
 // dropSilent reports neighbours that fell silent, and forgets them.
 func (m *Mesh) dropSilent() {
 	m.mu.Lock()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -56,6 +56,12 @@
 	return s.Mesh.accept(stream)
 }
 
+// ReportDeath implements peerpb.GatewayServer.
+func (s *Server) ReportDeath(_ context.Context, d *peerpb.EndpointDeath) (*peerpb.ReportDeathResponse, error) {
+	s.Mesh.remote.NeighbourDeath(d.Fingerprint, d.Endpoint)
+	return &peerpb.ReportDeathResponse{}, nil
+}
+
 // CopyUsage implements peerpb.GatewayServer.
 func (s *Server) CopyUsage(_ context.Context, r *peerpb.CopyUsageRequest) (*peerpb.CopyUsageResponse, error) {
 	if s.Usage == nil {
