Let a quiet pool retry a few times at once

Cause: the budget started empty, so the streams of an engine that crashed in a quiet or new pool ended incomplete; the gateway's own tests failed on it once the earned part fell to 0.95. Change: each pool starts with four retries for each gateway, enough for the 16 slots of one engine spread over four gateways, and earns 0.085 for each first try. Ruled out: one free retry every 10 s, which saves one stream of sixteen.

--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -7,15 +7,16 @@
 )
 
 const (
-	// minSaved bounds the retries that a quiet pool can save up. Saved retries hit a failing pool at once, on top of the
-	// running budget, so they stay few.
-	minSaved = 2
+	// minSaved is the number of retries that a quiet pool may make at once, also a new one. The streams of one crashed engine
+	// are spread over the gateways and have to go on elsewhere: 16 slots and four gateways give four each. Saved retries hit a
+	// failing pool on top of the running budget, so they stay few.
+	minSaved = 4
 	// savedSeconds of first tries may be saved up by a busy pool, so that one crash with many requests can be retried.
 	savedSeconds = 1
 	// earned is the part of the ratio that each first try earns. The rest covers retries that were saved before a pool began to
-	// fail, so that its load stays within the ratio from then on, once it has failed for about half a minute.
-	earned = 0.95
-	// budgetIdle is the time without a first try after which a pool's saved retries expire.
+	// fail, so that its load stays within the ratio over the first minute of a failure.
+	earned = 0.85
+	// budgetIdle is the time without a first try after which a pool counts as new.
 	budgetIdle = time.Minute
 	// maxPools bounds the pools that a budget remembers.
 	maxPools = 1024
@@ -37,8 +38,8 @@
 	before int       // first tries in the second before
 }
 
-// NewBudget returns a budget that allows ratio retries for each first try. It starts empty, so the retries of a pool never
-// exceed the ratio of its first tries.
+// NewBudget returns a budget that allows ratio retries for each first try and a few more at once. Each pool starts with these few,
+// because an engine of a quiet pool may crash too.
 func NewBudget(ratio float64) *Budget {
 	return &Budget{ratio: ratio, pools: make(map[string]*poolBudget)}
 }
@@ -51,7 +52,7 @@
 	p := b.pools[pool]
 	if p == nil {
 		b.makeRoom(now)
-		p = &poolBudget{second: now}
+		p = &poolBudget{second: now, last: now, credit: minSaved}
 		b.pools[pool] = p
 	}
 	p.expire(now)
@@ -80,7 +81,7 @@
 
 func (p *poolBudget) expire(now time.Time) {
 	if now.Sub(p.last) > budgetIdle {
-		p.credit = 0
+		p.credit = minSaved
 	}
 }
 
