Spread leases over controllers and bound the readers of each

Cause: in the demo the controller that started first took every lease. Every controller also read every lease each second: 330 controllers and 7 leases would be 2,310 reads a second, above what the platform takes. Change: rendezvous hashing ranks the VMs for each lease; three candidates read it every second, each waiting 0.5 s longer than the one before it, the others every 30 s. Ruled out: handing a lease over when a better-ranked process returns, which would cost a term for nothing.

--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -123,7 +123,7 @@
 }
 
 func (c *controllerNode) orders(pool string) *duty.Orders {
-	return &duty.Orders{Pool: pool, Holder: c.holderName(), Store: c.platform, Fleet: c.fleet, Log: c.telemetry.Log,
+	return &duty.Orders{Pool: pool, Holder: c.holderName(), Store: c.platform, Fleet: c.fleet, Log: c.telemetry.Log, Rank: c.members.Rank,
 		NewProvider: func(a *lease.Authority) platform.Provider { return c.boundPlatform(a) },
 		NewPlanners: c.newPlanners}
 }
@@ -140,7 +140,7 @@
 
 // runUsage seals and reports usage windows while it holds the lease.
 func (c *controllerNode) runUsage(ctx context.Context) error {
-	return duty.RunUsage(ctx, c.platform, c.holderName(), func(a *lease.Authority) {
+	return duty.RunUsage(ctx, c.platform, c.holderName(), c.members.Rank, func(a *lease.Authority) {
 		sealer := &usage.Sealer{Store: c.platform, VMs: c.platform, Sink: c.boundPlatform(a), Collector: &windowCollector{c.node},
 			Holder: c.holderName(), WindowLength: int64(c.settings.WindowLength / time.Second)}
 		sealer.Run(a)
@@ -152,7 +152,7 @@
 	store := claim.NewStore(claim.Options{Platform: c.platform, Log: c.telemetry.Log})
 	r := claim.Reconciler{Store: store, Incarnations: &incarnations{c.node},
 		Endpoints: claim.EndpointAsker{Client: c.endpoints, Addr: c.fleet.address}}
-	return duty.RunClaims(ctx, c.platform, c.holderName(), r, c.telemetry.Log)
+	return duty.RunClaims(ctx, c.platform, c.holderName(), c.members.Rank, r, c.telemetry.Log)
 }
 
 // watchReadiness keeps /readyz and the metric of the configuration's age.
--- a/internal/duty/deployment.go
+++ b/internal/duty/deployment.go
@@ -15,15 +15,26 @@
 // reconcileEvery is the period of passes over open claims. A pass reads all claim shards.
 const reconcileEvery = 10 * time.Second
 
+// Rank returns this process's place among those that may hold a lease, 0 first.
+type Rank func(leaseName string) int
+
+// of returns the rank for one lease, as the keeper wants it.
+func (r Rank) of(leaseName string) func() int {
+	if r == nil {
+		return nil
+	}
+	return func() int { return r(leaseName) }
+}
+
 // RunUsage competes for the lease "usage" and runs the sealer in each term until ctx ends.
-func RunUsage(ctx context.Context, store platform.Store, holder string, seal func(*lease.Authority)) error {
-	k := lease.NewKeeper(lease.Options{Store: store, Name: string(world.DutyUsage), Holder: holder})
+func RunUsage(ctx context.Context, store platform.Store, holder string, rank Rank, seal func(*lease.Authority)) error {
+	k := lease.NewKeeper(lease.Options{Store: store, Name: string(world.DutyUsage), Holder: holder, Rank: rank.of(string(world.DutyUsage))})
 	return k.Run(ctx, seal)
 }
 
 // RunClaims competes for the lease "claims" and reconciles open claims in each term until ctx ends.
-func RunClaims(ctx context.Context, store platform.Store, holder string, r claim.Reconciler, log zerolog.Logger) error {
-	k := lease.NewKeeper(lease.Options{Store: store, Name: string(world.DutyClaims), Holder: holder})
+func RunClaims(ctx context.Context, store platform.Store, holder string, rank Rank, r claim.Reconciler, log zerolog.Logger) error {
+	k := lease.NewKeeper(lease.Options{Store: store, Name: string(world.DutyClaims), Holder: holder, Rank: rank.of(string(world.DutyClaims))})
 	return k.Run(ctx, func(a *lease.Authority) {
 		r.Authority = a.Valid
 		for a.Valid() {
--- a/internal/duty/orders.go
+++ b/internal/duty/orders.go
@@ -45,6 +45,8 @@
 	// NewPlanners returns fresh planners for a term, in order of precedence, and a function that ends their use.
 	NewPlanners func() (planners []Planner, release func())
 	Log         zerolog.Logger
+	// Rank spreads the leases of pools over controllers; nil means that all try at once.
+	Rank Rank
 	// Control, when not nil, replaces the control protocol of engines; for tests.
 	Control order.Control
 	// Settle replaces the wait for gateways to learn of a drain; for tests. Zero means 5 s.
@@ -56,7 +58,8 @@
 
 // Run competes for the lease until ctx ends.
 func (o *Orders) Run(ctx context.Context) error {
-	k := lease.NewKeeper(lease.Options{Store: o.Store, Name: o.Pool + "." + string(world.DutyOrders), Holder: o.Holder})
+	name := o.Pool + "." + string(world.DutyOrders)
+	k := lease.NewKeeper(lease.Options{Store: o.Store, Name: name, Holder: o.Holder, Rank: o.Rank.of(name)})
 	return k.Run(ctx, o.lead)
 }
 
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -27,6 +27,13 @@
 	clockCheckEvery = 250 * time.Millisecond
 	// pollsPerTTL is how often a candidate reads the lease within its lifetime.
 	pollsPerTTL = 10
+	// candidates is the number of processes that read a lease every second. With all 330 controllers reading every lease, the
+	// platform would serve over two thousand reads a second for leases alone.
+	candidates = 3
+	// fallbackEvery is how often the other processes read it, in case all candidates are lost.
+	fallbackEvery = 30 * time.Second
+	// rankDelay is how much longer a candidate waits for each candidate before it, so that leases spread over processes.
+	rankDelay = 500 * time.Millisecond
 	// callTimeout bounds one platform call.
 	callTimeout = 1500 * time.Millisecond
 )
@@ -39,6 +46,9 @@
 	// Holder is the unique id of this incarnation of the process. It must differ after a restart.
 	Holder                  string
 	TTL, Margin, RenewEvery time.Duration
+	// Rank returns this process's place among those that may hold the lease, 0 first; nil means 0. The ranks of processes may
+	// disagree: they decide who tries first, never who holds the lease.
+	Rank func() int
 	// Wall reads the wall clock; nil means time.Now.
 	Wall func() time.Time
 }
@@ -52,6 +62,8 @@
 	value   world.Lease
 	// seen is when version was first seen on the monotonic clock.
 	seen time.Time
+	// free is when the lease was first seen without a holder; zero while it has one.
+	free time.Time
 	// pending holds when each write of unknown outcome was sent, by writer id.
 	pending map[string]stamp
 }
@@ -67,6 +79,9 @@
 	if o.RenewEvery <= 0 {
 		o.RenewEvery = DefaultRenewEvery
 	}
+	if o.Rank == nil {
+		o.Rank = func() int { return 0 }
+	}
 	if o.Wall == nil {
 		o.Wall = time.Now
 	}
@@ -81,7 +96,7 @@
 			k.hold(a, lead)
 		}
 		// The wait also follows a term, so that another candidate gets its turn when lead fails at once.
-		sleep(ctx, k.o.TTL/pollsPerTTL)
+		sleep(ctx, k.tryEvery())
 	}
 	return ctx.Err()
 }
@@ -145,11 +160,27 @@
 // available says whether a candidate may take the lease. A lease of this incarnation is left from a term whose lead has
 // returned, or from an acquisition whose answer was lost, so it may be taken again at once, with a new fencing number.
 func (k *Keeper) available() bool {
-	if k.version == 0 || k.value.Holder == "" || k.value.Holder == k.o.Holder {
+	if k.version != 0 && k.value.Holder == k.o.Holder {
 		return true
 	}
+	behind := time.Duration(min(k.o.Rank(), candidates)) * rankDelay
+	if k.version == 0 || k.value.Holder == "" {
+		if k.free.IsZero() {
+			k.free = time.Now()
+		}
+		return time.Since(k.free) >= behind
+	}
+	k.free = time.Time{}
 	ttl := max(k.o.TTL, time.Duration(k.value.TTLMS)*time.Millisecond)
-	return time.Since(k.seen) >= ttl+k.o.Margin
+	return time.Since(k.seen) >= ttl+k.o.Margin+behind
+}
+
+// tryEvery returns the wait between two tries.
+func (k *Keeper) tryEvery() time.Duration {
+	if k.o.Rank() >= candidates {
+		return fallbackEvery
+	}
+	return k.o.TTL / pollsPerTTL
 }
 
 // read refreshes version and value.
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -16,6 +16,7 @@
 
 	"crocusglade.example/crocusglade/internal/platform"
 	"crocusglade.example/crocusglade/internal/platform/memplatform"
+	"crocusglade.example/crocusglade/internal/world"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -221,3 +222,54 @@
 		t.Errorf("the endpoint received %q", got)
 	}
 }
+
+// Guards against all leases on the process that starts first, and against a lease that nobody takes when the first in rank is lost.
+func TestRankDecidesWhoTriesFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memplatform.New()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var done sync.WaitGroup
+		leads := make(chan string, 10)
+		run := func(ctx context.Context, store platform.Store, holder string, rank int) {
+			k := NewKeeper(Options{Store: store, Name: "x", Holder: holder, Rank: func() int { return rank }})
+			done.Go(func() {
+				_ = k.Run(ctx, func(a *Authority) {
+					leads <- holder
+					<-a.Context().Done()
+				})
+			})
+		}
+		far := &countingStore{Store: store}
+		run(ctx, far, "far", candidates+4)
+		run(ctx, store, "second", 1)
+		firstCtx, loseFirst := context.WithCancel(ctx)
+		run(firstCtx, store, "first", 0)
+		if got := <-leads; got != "first" {
+			t.Fatalf("%s leads, want the first in rank", got)
+		}
+		loseFirst()
+		if got := <-leads; got != "second" {
+			t.Fatalf("%s leads after the first was lost", got)
+		}
+		time.Sleep(time.Minute)
+		reads := far.reads.Load()
+		time.Sleep(time.Minute)
+		if more := far.reads.Load() - reads; more > 4 {
+			t.Errorf("the process far in rank read the lease %d times in a minute", more)
+		}
+		cancel()
+		done.Wait()
+	})
+}
+
+// countingStore counts reads of one process.
+type countingStore struct {
+	platform.Store
+	reads atomic.Int64
+}
+
+func (s *countingStore) Get(ctx context.Context, kind, name string) (world.Object, error) {
+	s.reads.Add(1)
+	return s.Store.Get(ctx, kind, name)
+}
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -214,3 +214,9 @@
 	}
 	return n
 }
+
+// Rank returns this VM's place among the live VMs by rendezvous hashing for a key; 0 is the first.
+func (m *Members) Rank(key string) int {
+	names := m.view.Load().names(nil)
+	return max(0, slices.Index(Rendezvous("rank/"+key, names, len(names)), m.self.Name))
+}
