duty: keep an endpoint drained until its last order is resolved

Run against tests in virtual time, an action that failed undrained its endpoint while the provider's clean or remove order was still unresolved and would be sent again; a cleaned engine was resumed while the provider still cleaned it, because the fleet's list lags; a removed endpoint lost its drain entry while lists still named it; an engine left draining by a failed cleaning was never resumed; an abandoned endpoint that stays silent was never removed; entries of endpoints that are gone stayed for ever; an outage of the platform during the settle time let gateways send work up to the order; a holder whose orders object was rewritten kept the lease without being able to send.

Change: after an error the endpoint stays drained and one path, giveBack, resolves pending orders, waits for the provider's own state, resumes and undrains. Undrain refuses while an order to the endpoint is pending. A remove order marks its endpoint in the same write that resolves it, and the entry goes once neither provider nor fleet lists it. The settle time counts anew after a failed read of the platform. ErrSuperseded ends the term. Dispatcher.State no longer waits for a write in progress. Ruled out: asking every gateway for the revision before each order, which stops all orders while one gateway is cut off.

--- a/internal/duty/action.go
+++ b/internal/duty/action.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -9,12 +12,11 @@
 	"crocusglade.example/crocusglade/internal/lease"
 	"crocusglade.example/crocusglade/internal/order"
 	"crocusglade.example/crocusglade/internal/world"
-
-	"sync"
 )
 
 // carryOut runs one action on an endpoint from drain to return. No request is cut: the endpoint gets no new work, its last
-// stream ends, and only then it gets its order.
+// stream ends, and only then it gets its order. After an error the endpoint stays drained, because an order may still take
+// effect; startLeftOver returns it to service.
 func (o *Orders) carryOut(ctx context.Context, d *order.Dispatcher, p Proposal) error {
 	action, err := d.Begin(ctx, p.Endpoint)
 	if err != nil {
@@ -28,30 +30,51 @@
 	case world.OrderClean:
 		err = o.clean(ctx, d, action, p)
 	case world.OrderRemove:
-		return o.remove(ctx, d, action, p)
+		return action.Submit(ctx, world.Order{Kind: world.OrderRemove, Endpoint: p.Endpoint})
 	default:
 		err = o.change(ctx, action, p)
 	}
-	if err != nil && errors.Is(err, order.ErrAbandoned) {
+	if err != nil {
 		return err
 	}
-	return errors.Join(err, d.Undrain(ctx, p.Endpoint))
+	return d.Undrain(ctx, p.Endpoint)
 }
 
-// empty drains the endpoint and waits for its last stream. A drain that takes too long is withdrawn.
+// empty drains the endpoint and waits for its last stream. A drain that takes too long is withdrawn, except that an abandoned
+// endpoint without any report in all that time is taken for lost.
 func (o *Orders) empty(ctx context.Context, d *order.Dispatcher, p Proposal) error {
 	if err := d.Drain(ctx, p.Endpoint, string(p.Kind)+": "+p.Reason); err != nil {
 		return err
 	}
-	if !pause(ctx, o.settleTime()) {
-		return ctx.Err()
+	if err := o.awaitSettled(ctx, d); err != nil {
+		return err
 	}
 	since := time.Now()
 	err := o.await(ctx, p.Endpoint, emptyWithin, func(e EndpointView) bool { return e.Empty(since) })
-	if errors.Is(err, errLate) {
+	if !errors.Is(err, errLate) {
+		return err
+	}
+	if !slices.Contains(d.State().Abandoned, p.Endpoint) {
 		return errors.Join(ErrNotDrained, d.Undrain(ctx, p.Endpoint))
 	}
-	return err
+	if e, ok := o.viewOf(p.Endpoint); ok && e.ReportedAt.After(since) {
+		return ErrNotDrained
+	}
+	return nil
+}
+
+// awaitSettled waits until every gateway has had the settle time to learn of a drain. Gateways learn nothing during an outage of
+// the platform and serve on, so the time counts anew after each read that fails.
+func (o *Orders) awaitSettled(ctx context.Context, d *order.Dispatcher) error {
+	for since := time.Now(); time.Since(since) < o.settleTime(); {
+		if !pause(ctx, min(settlePollEvery, o.settleTime())) {
+			return ctx.Err()
+		}
+		if d.Ping(ctx) != nil {
+			since = time.Now()
+		}
+	}
+	return nil
 }
 
 // change sends an engine order and waits until the engine serves again.
@@ -75,11 +98,7 @@
 	if err := action.Submit(ctx, world.Order{Kind: world.OrderClean, Endpoint: p.Endpoint}); err != nil {
 		return err
 	}
-	sent := time.Now()
-	err := o.await(ctx, p.Endpoint, cleanWithin, func(e EndpointView) bool {
-		return e.State != world.EndpointCleaning && e.ReportedAt.After(sent)
-	})
-	if err != nil {
+	if err := o.awaitIdle(ctx, d, p.Endpoint); err != nil {
 		return err
 	}
 	if pool.Kind == world.PoolEngine {
@@ -90,50 +109,106 @@
 	return d.SetCleaned(ctx, p.Endpoint, time.Now())
 }
 
-// remove gives an empty endpoint back to the provider.
-func (o *Orders) remove(ctx context.Context, d *order.Dispatcher, action *order.Action, p Proposal) error {
-	if err := action.Submit(ctx, world.Order{Kind: world.OrderRemove, Endpoint: p.Endpoint}); err != nil {
-		return err
+// awaitIdle waits until neither the provider cleans the endpoint nor an order changes it. The provider is asked directly: the
+// fleet's list lags and may show the state before the clean order.
+func (o *Orders) awaitIdle(ctx context.Context, d *order.Dispatcher, endpoint string) error {
+	end := time.Now().Add(cleanWithin)
+	for {
+		e, listed, err := d.ProviderEndpoint(ctx, endpoint)
+		if err == nil && (!listed || e.State != world.EndpointCleaning) {
+			break
+		}
+		if time.Now().After(end) {
+			return errLate
+		}
+		if !pause(ctx, providerPollEvery) {
+			return ctx.Err()
+		}
 	}
-	return d.Forget(ctx, p.Endpoint)
+	since := time.Now()
+	return o.await(ctx, endpoint, cleanWithin, func(e EndpointView) bool {
+		return e.State != world.EndpointCleaning && !e.Load.Changing && e.ReportedAt.After(since)
+	})
 }
 
-// startLeftOver finishes what a predecessor left half done: an abandoned endpoint is removed once it is replaced, and an endpoint that
-// is still drained for an action returns to service. It returns true when it started an action.
-func (o *Orders) startLeftOver(a *lease.Authority, d *order.Dispatcher, v PoolView, actions *sync.WaitGroup) bool {
+// startLeftOver finishes what a predecessor or a failed action left half done: an abandoned endpoint is removed, an endpoint that is
+// still drained for an action returns to service, and entries of endpoints that are gone are dropped. It returns true when it
+// started an action. An operator's drain is part of the pool's configuration and is not touched.
+func (o *Orders) startLeftOver(a *lease.Authority, d *order.Dispatcher, v PoolView, s world.PoolOrders, actions *sync.WaitGroup) bool {
+	listed := make(map[string]bool)
 	for _, e := range v.Endpoints {
-		if e.Drained == "" {
+		listed[e.Name] = true
+		if e.Drained == "" || e.Drained == order.Removed {
 			continue
 		}
 		if e.Abandoned {
 			o.start(a, d, Proposal{Kind: world.OrderRemove, Endpoint: e.Name, Reason: "ambiguous order"}, actions)
 			return true
 		}
-		o.setLosing(e.Name)
-		name, needsResume := e.Name, v.Pool.Kind == world.PoolEngine && e.Load.Draining
-		actions.Go(func() {
-			defer o.setLosing("")
-			o.finish(Proposal{Kind: world.OrderResume, Endpoint: name}, o.giveBack(a.Context(), d, name, needsResume))
+		o.run(a, Proposal{Kind: world.OrderResume, Endpoint: e.Name, Reason: "unfinished action"}, actions, func(ctx context.Context) error {
+			return o.giveBack(ctx, d, e.Name, v.Pool.Kind)
 		})
 		return true
 	}
+	for _, name := range slices.Sorted(maps.Keys(entries(s))) {
+		if !listed[name] {
+			o.run(a, Proposal{Kind: world.OrderRemove, Endpoint: name, Reason: "endpoint is gone"}, actions, func(ctx context.Context) error {
+				return o.forgetGone(ctx, d, name)
+			})
+			return true
+		}
+	}
 	return false
 }
 
-// giveBack returns a drained endpoint to service after an unfinished action.
-func (o *Orders) giveBack(ctx context.Context, d *order.Dispatcher, name string, needsResume bool) error {
+// entries returns the endpoints that have an entry in the pool's orders.
+func entries(s world.PoolOrders) map[string]bool {
+	names := make(map[string]bool)
+	for name := range s.Drained {
+		names[name] = true
+	}
+	for name := range s.Cleaned {
+		names[name] = true
+	}
+	for _, name := range s.Abandoned {
+		names[name] = true
+	}
+	return names
+}
+
+// forgetGone drops the entries of an endpoint that neither the fleet nor the provider has listed for the settle time. Other
+// processes may still route to it until then.
+func (o *Orders) forgetGone(ctx context.Context, d *order.Dispatcher, name string) error {
+	if !pause(ctx, o.settleTime()) {
+		return ctx.Err()
+	}
+	_, listed, err := d.ProviderEndpoint(ctx, name)
+	if err != nil {
+		return err
+	}
+	if _, known := o.viewOf(name); known || listed {
+		return nil
+	}
+	return d.Forget(ctx, name)
+}
+
+// giveBack returns a drained endpoint to service after an unfinished action, once no order to it is unresolved.
+func (o *Orders) giveBack(ctx context.Context, d *order.Dispatcher, name string, kind world.PoolKind) error {
 	action, err := d.Begin(ctx, name)
 	if err != nil {
 		return err
 	}
 	defer action.End()
-	err = o.await(ctx, name, cleanWithin, func(e EndpointView) bool {
-		return e.State != world.EndpointCleaning && !e.Load.Changing && !e.ReportedAt.IsZero()
-	})
-	if err != nil {
+	if err := d.ResolvePending(ctx); err != nil {
+		return err
+	}
+	if d.State().Drained[name] == order.Removed {
+		return nil
+	}
+	if err := o.awaitIdle(ctx, d, name); err != nil {
 		return err
 	}
-	if needsResume {
+	if e, _ := o.viewOf(name); kind == world.PoolEngine && e.Load.Draining {
 		if err := action.Submit(ctx, world.Order{Kind: world.OrderResume, Endpoint: name}); err != nil {
 			return err
 		}
--- a/internal/duty/orders.go
+++ b/internal/duty/orders.go
@@ -23,6 +23,10 @@
 	settle = 5 * time.Second
 	// pollEvery is how often an action looks at the endpoint's reports.
 	pollEvery = 250 * time.Millisecond
+	// settlePollEvery is how often the platform is tried during the settle time.
+	settlePollEvery = time.Second
+	// providerPollEvery is how often an action reads the provider's list; each read counts against the platform's rates.
+	providerPollEvery = time.Second
 	// emptyWithin bounds the wait for the last stream of a drained endpoint; the action is given up after it.
 	emptyWithin = 30 * time.Minute
 	// changeWithin bounds the wait for an engine to carry out a change.
@@ -106,8 +110,11 @@
 	if !ok || pool.Paused {
 		return
 	}
-	v := o.view(pool, d.State())
-	if v.PlannedLoss == "" && o.startLeftOver(a, d, v, actions) {
+	// The running action is read before the state, so that an action that ends in between is not taken for a left-over one.
+	losing := o.losingNow()
+	state := d.State()
+	v := o.view(pool, state, losing)
+	if losing == "" && o.startLeftOver(a, d, v, state, actions) {
 		return
 	}
 	for _, planner := range planners {
@@ -116,7 +123,7 @@
 			continue
 		}
 		if p.Kind == world.OrderAdd {
-			o.finish(p, d.Submit(a.Context(), providerOrder(p)))
+			o.finish(a, p, d.Submit(a.Context(), providerOrder(p)))
 			return
 		}
 		if v.PlannedLoss == "" {
@@ -127,8 +134,8 @@
 }
 
 // view joins reports with what the system itself has ordered.
-func (o *Orders) view(pool world.Pool, s world.PoolOrders) PoolView {
-	v := PoolView{Pool: pool, Endpoints: o.Fleet.Endpoints(o.Pool), PlannedLoss: o.losingNow(), Now: time.Now()}
+func (o *Orders) view(pool world.Pool, s world.PoolOrders, losing string) PoolView {
+	v := PoolView{Pool: pool, Endpoints: o.Fleet.Endpoints(o.Pool), PlannedLoss: losing, Now: time.Now()}
 	for i := range v.Endpoints {
 		e := &v.Endpoints[i]
 		e.Drained = s.Drained[e.Name]
@@ -143,21 +150,30 @@
 
 // start runs a proposal as the pool's action.
 func (o *Orders) start(a *lease.Authority, d *order.Dispatcher, p Proposal, actions *sync.WaitGroup) {
+	o.run(a, p, actions, func(ctx context.Context) error { return o.carryOut(ctx, d, p) })
+}
+
+// run starts the pool's only action.
+func (o *Orders) run(a *lease.Authority, p Proposal, actions *sync.WaitGroup, action func(context.Context) error) {
 	o.setLosing(p.Endpoint)
 	o.Log.Info().Str("pool", o.Pool).Str("endpoint", p.Endpoint).Str("order", string(p.Kind)).Str("value", p.Value).
 		Str("reason", p.Reason).Msg("action started")
 	actions.Go(func() {
 		defer o.setLosing("")
-		o.finish(p, o.carryOut(a.Context(), d, p))
+		o.finish(a, p, action(a.Context()))
 	})
 }
 
-func (o *Orders) finish(p Proposal, err error) {
+// finish logs the end of an action. A term whose orders object another process has rewritten can send nothing more and ends.
+func (o *Orders) finish(a *lease.Authority, p Proposal, err error) {
 	line := o.Log.Info()
 	if err != nil {
 		line = o.Log.Warn().Err(err)
 	}
 	line.Str("pool", o.Pool).Str("endpoint", p.Endpoint).Str("order", string(p.Kind)).Msg("action ended")
+	if errors.Is(err, order.ErrSuperseded) {
+		a.End()
+	}
 }
 
 func (o *Orders) losingNow() string {
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -61,7 +61,9 @@
 	queueMu sync.Mutex
 	queues  map[string]chan struct{}
 
-	// mu guards the object's state and is held while the object is written.
+	// writing has room for one token, held while the object is written. State does not wait for it.
+	writing chan struct{}
+	// mu guards the object's state and version, which only the holder of the writing token changes.
 	mu      sync.Mutex
 	state   world.PoolOrders
 	version uint64
@@ -75,7 +77,7 @@
 	if o.Control == nil {
 		o.Control = newHTTPControl(o.Authority)
 	}
-	return &Dispatcher{o: o, sending: make(chan struct{}, 1), queues: make(map[string]chan struct{})}
+	return &Dispatcher{o: o, sending: make(chan struct{}, 1), writing: make(chan struct{}, 1), queues: make(map[string]chan struct{})}
 }
 
 // State returns a copy of orders/<pool> as last written by this dispatcher.
@@ -266,19 +268,70 @@
 	})
 }
 
-// Drain lists an endpoint as drained, with the reason; gateways send it no new work.
+// Removed is the drain reason of an endpoint whose removal the provider has accepted. The entry stays until Forget, since
+// gateways may list the endpoint for a while.
+const Removed = "removed"
+
+// Drain lists an endpoint as drained, with the reason; gateways send it no new work. A removed endpoint is refused.
 func (d *Dispatcher) Drain(ctx context.Context, endpoint, reason string) error {
+	if d.State().Drained[endpoint] == Removed {
+		return errors.Wrapf(ErrRefused, "endpoint %s has been removed", endpoint)
+	}
 	return d.edit(ctx, func(s *world.PoolOrders) { setEntry(&s.Drained, endpoint, reason) })
 }
 
-// Undrain removes an endpoint from the drained list. It returns ErrAbandoned for an abandoned endpoint.
+// Undrain removes an endpoint from the drained list. It returns ErrAbandoned for an abandoned endpoint, ErrRefused for a removed
+// one, and ErrUnresolved while an order to the endpoint may still take effect.
 func (d *Dispatcher) Undrain(ctx context.Context, endpoint string) error {
-	if slices.Contains(d.State().Abandoned, endpoint) {
+	s := d.State()
+	switch {
+	case slices.Contains(s.Abandoned, endpoint):
 		return ErrAbandoned
+	case s.Drained[endpoint] == Removed:
+		return errors.Wrapf(ErrRefused, "endpoint %s has been removed", endpoint)
+	case slices.ContainsFunc(s.Intents, func(i world.Intent) bool {
+		return i.Order.Endpoint == endpoint && i.State == world.IntentPending
+	}):
+		return ErrUnresolved
 	}
 	return d.edit(ctx, func(s *world.PoolOrders) { delete(s.Drained, endpoint) })
 }
 
+// ResolvePending sends orders of unknown outcome again. It returns ErrUnresolved while one remains.
+func (d *Dispatcher) ResolvePending(ctx context.Context) error {
+	if err := d.take(ctx, d.sending); err != nil {
+		return err
+	}
+	defer func() { <-d.sending }()
+	ctx, cancel := d.bound(ctx)
+	defer cancel()
+	return d.resolveAll(ctx)
+}
+
+// Ping reads orders/<pool> once and returns an error when the platform does not answer.
+func (d *Dispatcher) Ping(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	_, _, err := d.read(ctx)
+	return err
+}
+
+// pingTimeout bounds one Ping.
+const pingTimeout = 1500 * time.Millisecond
+
+// ProviderEndpoint reads the provider's present entry of an endpoint. listed is false when the provider has none.
+func (d *Dispatcher) ProviderEndpoint(ctx context.Context, name string) (e world.Endpoint, listed bool, err error) {
+	view, err := d.o.Provider.Endpoints(ctx, d.o.Pool)
+	if err != nil {
+		return e, false, err
+	}
+	i := slices.IndexFunc(view.Endpoints, func(e world.Endpoint) bool { return e.Name == name })
+	if i < 0 {
+		return e, false, nil
+	}
+	return view.Endpoints[i], true, nil
+}
+
 // SetCleaned records the time of an endpoint's last cleaning.
 func (d *Dispatcher) SetCleaned(ctx context.Context, endpoint string, at time.Time) error {
 	return d.edit(ctx, func(s *world.PoolOrders) { setEntry(&s.Cleaned, endpoint, at.UnixMilli()) })
--- a/internal/order/save.go
+++ b/internal/order/save.go
@@ -22,9 +22,7 @@
 			if state.Fence > d.o.Authority.Fence() {
 				return ErrSuperseded
 			}
-			d.mu.Lock()
-			d.state, d.version = state, version
-			d.mu.Unlock()
+			d.store(state, version)
 			return nil
 		}
 		if !transient(err) {
@@ -51,9 +49,11 @@
 // save changes orders/<pool> conditionally. It returns once the write is known to have won or lost: a write without answer
 // is looked up by its writer id, and sent again while the object is unchanged.
 func (d *Dispatcher) save(ctx context.Context, change func(*world.PoolOrders)) error {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	next := clone(d.state)
+	if err := d.take(ctx, d.writing); err != nil {
+		return err
+	}
+	defer func() { <-d.writing }()
+	next := d.State()
 	change(&next)
 	next.Fence, next.Holder, next.Writer = d.o.Authority.Fence(), d.o.Holder, uuid.NewString()
 	data, err := json.Marshal(next)
@@ -73,7 +73,7 @@
 			version, err = d.outcome(ctx, next.Writer)
 		}
 		if err == nil {
-			d.state, d.version = next, version
+			d.store(next, version)
 			return nil
 		}
 		if !transient(err) {
@@ -85,6 +85,12 @@
 	}
 }
 
+func (d *Dispatcher) store(state world.PoolOrders, version uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.state, d.version = state, version
+}
+
 // outcome looks a write up by its writer id. It returns the version of a write that won, ErrSuperseded for one that lost,
 // and a transient error when that is not known yet.
 func (d *Dispatcher) outcome(ctx context.Context, writer string) (uint64, error) {
--- a/internal/order/send.go
+++ b/internal/order/send.go
@@ -65,7 +65,13 @@
 	if outcome != nil {
 		intent.State, intent.Reason = world.IntentRefused, outcome.Error()
 	}
-	if err := d.save(ctx, func(s *world.PoolOrders) { setIntent(s, intent) }); err != nil {
+	err := d.save(ctx, func(s *world.PoolOrders) {
+		setIntent(s, intent)
+		if o.Kind == world.OrderRemove && outcome == nil {
+			setEntry(&s.Drained, o.Endpoint, Removed)
+		}
+	})
+	if err != nil {
 		return err
 	}
 	return outcome
