usage: bill each count once when copies or answers are lost

Cause: a gateway moved the counts of a window that peers had closed by what its present peers had confirmed. A copy accepted without an answer, and copies at former peers, were billed in both windows. A gateway that had answered the collection took its counts as sealed although the answer could be lost. A sealer without sealed windows began with the last window that had ended.

Change: the ledger keeps the most of each own counter that may be sealed and moves only the rest at once. Sealed windows name the incarnations that answered and what copies gave for others; a gateway reads the sealed window and moves what it lacks. The first sealer asks for the oldest window with counters. Ruled out: asking each former peer what it holds (a peer that can't be reached leaves the question open), and moving counts by the answers of present peers. An answer resumed at the engine after its gateway died may still be counted by both gateways; the comment on Ledger says when.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -95,7 +95,7 @@
 	g.entry = &entry{self: g.self, members: g.members, mesh: g.mesh}
 	copier := &usageCopier{node: base, mesh: g.mesh}
 	g.ledger = usage.NewLedger(usage.Options{Incarnation: s.VMName + "." + g.incarnation, WindowLength: int64(s.WindowLength / time.Second),
-		Peers: copier.peers, Copier: copier})
+		Peers: copier.peers, Copier: copier, Sealed: usage.ReadSealed(g.platform)})
 	claims := claim.NewStore(claim.Options{Platform: g.platform, Log: g.telemetry.Log})
 	g.gateway = gateway.New(gateway.Options{
 		VM: s.VMName, Incarnation: g.incarnation, Config: g.holder, Keyring: g.keyring, Admission: g.admission, Balancer: g.balancer,
--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -23,8 +23,18 @@
 	copiesPerCounter = 2
 	// maxRounds bounds how often one group is copied again after its window was closed meanwhile.
 	maxRounds = 3
+	// settleFirst and settleMost are the first and the longest wait between two reads of a closed window that is not sealed
+	// yet. A window is usually sealed within a second of being closed, and within toleranceAfter when an answer is missing.
+	settleFirst = 2 * time.Second
+	settleMost  = 30 * time.Second
+	// settleTimeout bounds one read of a sealed window.
+	settleTimeout = 5 * time.Second
 )
 
+// OldestWindow is passed to Ledger.Close and Collector.CollectWindow in place of a window's start. It closes nothing; the
+// answer holds the counters of the oldest window that the gateway has counters of and does not know to be sealed.
+const OldestWindow int64 = 0
+
 // ErrNoCopy is returned by Record when no peer holds a copy. The usage is counted locally and copied again later.
 var ErrNoCopy = errors.New("usage: no peer took a copy; check the links to the other failure domains")
 
@@ -57,10 +67,28 @@
 	// Peers returns the names of the peers that hold copies. A name must change when the peer restarts and loses its copies.
 	Peers  func() []string
 	Copier Copier
+	// Sealed reads a sealed window. It returns nil without an error when the window is not sealed yet. When Sealed is nil,
+	// counts that may have been sealed stay in their window.
+	Sealed func(ctx context.Context, window int64) (*world.UsageWindow, error)
 }
 
 // Ledger counts a gateway's own usage and keeps copies of its peers' counters. It implements Recorder. Its methods may be
 // called concurrently.
+//
+// Each recorded usage is part of exactly one sealed window as long as this process, or a peer that confirmed a copy, lives
+// until the window is sealed. Counts in a window that was closed are of three kinds:
+//
+//   - Counts that were never part of an answer to the collection, nor of a copy that a peer may have accepted, move to the
+//     current window at once.
+//   - Counts that may be sealed stay until the sealed window can be read. It names the incarnations whose own answer it
+//     contains and the figures that copies gave for all others. What it does not contain then moves to the current window.
+//   - Counts that are sealed stay.
+//
+// Until the sealed window is read, counts of the second kind that no peer confirmed exist in this process only.
+//
+// An answer that was counted by a gateway that died before its caller had the end marker, and that the caller then fetches
+// through another gateway (Gateway.FetchAnswer, resumed at the engine), is counted by both: counters hold no request ids.
+// Only answers in flight when a gateway dies are affected, each at most once for each gateway that dies under it.
 type Ledger struct {
 	o    Options
 	wake chan struct{}
@@ -70,12 +98,24 @@
 	closed map[int64]bool
 	// refused holds windows that a peer has closed; nothing new is counted in them.
 	refused map[int64]bool
+	// possible holds the most of each own counter that may be sealed: what a peer accepted or may have accepted, and all that
+	// was counted when this gateway answered the collection.
+	possible map[counterKey]world.Usage
+	// settled holds closed windows whose own counters are exactly what was sealed, and settle when to read others again.
+	settled map[int64]bool
+	settle  map[int64]settleWait
 	// acked holds what each peer confirmed of the own counters, and suspect when a failed peer is tried again.
 	acked   map[string]map[counterKey]world.Usage
 	suspect map[string]time.Time
 	waiting []chan error
 }
 
+// settleWait is the wait before the next read of a window that was closed and not yet sealed.
+type settleWait struct {
+	next time.Time
+	wait time.Duration
+}
+
 var _ Recorder = (*Ledger)(nil)
 
 // NewLedger returns an empty ledger. Run must run for Record to return.
@@ -84,8 +124,9 @@
 		o.WindowLength = world.WindowLength
 	}
 	return &Ledger{o: o, wake: make(chan struct{}, 1), counts: make(map[counterKey]world.Usage), closed: make(map[int64]bool),
-		refused: make(map[int64]bool),
-		acked:   make(map[string]map[counterKey]world.Usage), suspect: make(map[string]time.Time)}
+		refused: make(map[int64]bool), possible: make(map[counterKey]world.Usage),
+		settled: make(map[int64]bool), settle: make(map[int64]settleWait),
+		acked: make(map[string]map[counterKey]world.Usage), suspect: make(map[string]time.Time)}
 }
 
 // ChoosePeers names two VMs in two failure domains other than self's, by rendezvous hashing. It names fewer when the list
@@ -143,6 +184,11 @@
 
 // Run copies counters to peers until ctx ends. Counters that a peer has not confirmed are tried again once a second.
 func (l *Ledger) Run(ctx context.Context) error {
+	var settling sync.WaitGroup
+	defer settling.Wait()
+	if l.o.Sealed != nil {
+		settling.Go(func() { l.settleClosed(ctx) })
+	}
 	defer func() { answerAll(l.takeWaiting(), ErrNoCopy) }()
 	retry := time.NewTicker(suspectFor)
 	defer retry.Stop()
@@ -207,10 +253,9 @@
 	wg.Wait()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	unknown := false
 	for _, r := range results {
+		l.notePossible(r)
 		if r.err != nil {
-			unknown = true
 			continue
 		}
 		l.confirm(r)
@@ -223,9 +268,7 @@
 	}
 	maps.DeleteFunc(l.acked, func(peer string, _ map[counterKey]world.Usage) bool { return !slices.Contains(peers, peer) })
 	for w := range l.refused {
-		// A window that this gateway answered for is complete with its own answer. While a peer's answer is unknown, that peer
-		// may have accepted the counts, and moving them would bill them twice.
-		if !l.closed[w] && !unknown {
+		if !l.closed[w] {
 			moved = l.move(w) || moved
 		}
 	}
@@ -274,20 +317,35 @@
 	}
 }
 
-// move takes the counts of a closed window that no peer holds to the current window. The caller holds the lock.
+// notePossible notes what a peer accepted or may have accepted: all that was sent, except counters of windows that the peer
+// reported as closed. A copy without an answer may have been accepted, or may still be. The caller holds the lock.
+func (l *Ledger) notePossible(r copyResult) {
+	for _, c := range r.sent {
+		if r.err != nil || !slices.Contains(r.closed, c.Window) {
+			k := counterKey{c.Incarnation, c.Window, c.Team}
+			l.possible[k] = larger(l.possible[k], c.Usage)
+		}
+	}
+}
+
+// move closes a window that a peer has closed and takes the counts that can't be sealed to the current window. The caller
+// holds the lock.
 func (l *Ledger) move(window int64) bool {
 	l.closed[window] = true
+	return l.reduce(window, func(k counterKey) world.Usage { return l.possible[k] })
+}
+
+// reduce lowers the own counters of a closed window to what keep returns and counts the rest in the current window. The caller
+// holds the lock.
+func (l *Ledger) reduce(window int64, keep func(counterKey) world.Usage) bool {
 	moved := false
 	for k, u := range l.counts {
 		if k.window != window || k.incarnation != l.o.Incarnation {
 			continue
 		}
-		var held world.Usage
-		for _, acked := range l.acked {
-			held = larger(held, acked[k])
-		}
-		if rest := minus(u, held); rest != (world.Usage{}) {
-			l.counts[k] = held
+		kept := smaller(u, keep(k))
+		if rest := minus(u, kept); rest != (world.Usage{}) {
+			l.counts[k] = kept
 			l.add(k.team, rest)
 			moved = true
 		}
@@ -295,6 +353,55 @@
 	return moved
 }
 
+// settleClosed compares own counters of closed windows with the sealed figures until ctx ends.
+func (l *Ledger) settleClosed(ctx context.Context) {
+	for sleep(ctx, suspectFor) {
+		for _, window := range l.unsettled() {
+			readCtx, cancel := context.WithTimeout(ctx, settleTimeout)
+			sealed, err := l.o.Sealed(readCtx, window)
+			cancel()
+			if err == nil && sealed != nil {
+				l.settleWindow(window, sealed)
+			}
+		}
+	}
+}
+
+// unsettled returns the closed windows with own counters that are due to be read, and sets their next read.
+func (l *Ledger) unsettled() []int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	var due []int64
+	for k := range l.counts {
+		if k.incarnation != l.o.Incarnation || !l.closed[k.window] || l.settled[k.window] || now.Before(l.settle[k.window].next) {
+			continue
+		}
+		wait := min(settleMost, max(settleFirst, 2*l.settle[k.window].wait))
+		l.settle[k.window] = settleWait{next: now.Add(wait), wait: wait}
+		due = append(due, k.window)
+	}
+	return due
+}
+
+// settleWindow moves own counts that a sealed window does not contain to the current window.
+func (l *Ledger) settleWindow(window int64, sealed *world.UsageWindow) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.settled[window] = true
+	delete(l.settle, window)
+	if slices.Contains(sealed.Answered, l.o.Incarnation) {
+		return
+	}
+	covered := sealed.Covered[l.o.Incarnation]
+	if l.reduce(window, func(k counterKey) world.Usage { return covered[k.team] }) {
+		select {
+		case l.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // Accept stores a peer's counters and returns the windows that are closed here and for which the peer counted more than
 // this gateway holds.
 func (l *Ledger) Accept(counters []Counter) (closed []int64) {
@@ -314,11 +421,26 @@
 	return closed
 }
 
-// Close closes a window for good and returns the own counters and the copies held for it. Repeating it gives the same answer.
+// Close closes a window for good and returns the own counters and the copies held for it. Repeating it gives the same answer
+// until the window is sealed. OldestWindow closes nothing.
 func (l *Ledger) Close(window int64) []Counter {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if window == OldestWindow {
+		return l.counters(l.oldest())
+	}
 	l.closed[window] = true
+	out := l.counters(window)
+	for _, c := range out {
+		if c.Incarnation == l.o.Incarnation {
+			l.possible[counterKey{c.Incarnation, c.Window, c.Team}] = c.Usage
+		}
+	}
+	return out
+}
+
+// counters returns all counters of a window. The caller holds the lock.
+func (l *Ledger) counters(window int64) []Counter {
 	var out []Counter
 	for k, u := range l.counts {
 		if k.window == window {
@@ -328,12 +450,28 @@
 	return out
 }
 
-// Forget drops the counters of closed windows that started before the given Unix time. The windows stay closed.
+// oldest returns the start of the oldest window with counters that is not known to be sealed, or 0. The caller holds the lock.
+func (l *Ledger) oldest() int64 {
+	var first int64
+	for k := range l.counts {
+		if !l.settled[k.window] && (first == 0 || k.window < first) {
+			first = k.window
+		}
+	}
+	return first
+}
+
+// Forget drops the counters of closed windows that started before the given Unix time. The windows stay closed. Own counters
+// that may be missing from the sealed figures are kept.
 func (l *Ledger) Forget(before int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	old := func(k counterKey, _ world.Usage) bool { return k.window < before && l.closed[k.window] }
+	old := func(k counterKey, _ world.Usage) bool {
+		own := k.incarnation == l.o.Incarnation && l.o.Sealed != nil
+		return k.window < before && l.closed[k.window] && (l.settled[k.window] || !own)
+	}
 	maps.DeleteFunc(l.counts, old)
+	maps.DeleteFunc(l.possible, old)
 	for _, acked := range l.acked {
 		maps.DeleteFunc(acked, old)
 	}
@@ -348,6 +486,10 @@
 	return world.Usage{Requests: a.Requests - b.Requests, PromptTokens: a.PromptTokens - b.PromptTokens, OutputTokens: a.OutputTokens - b.OutputTokens}
 }
 
+func smaller(a, b world.Usage) world.Usage {
+	return world.Usage{Requests: min(a.Requests, b.Requests), PromptTokens: min(a.PromptTokens, b.PromptTokens), OutputTokens: min(a.OutputTokens, b.OutputTokens)}
+}
+
 func larger(a, b world.Usage) world.Usage {
 	return world.Usage{Requests: max(a.Requests, b.Requests), PromptTokens: max(a.PromptTokens, b.PromptTokens), OutputTokens: max(a.OutputTokens, b.OutputTokens)}
 }
--- a/internal/usage/sealer.go
+++ b/internal/usage/sealer.go
@@ -33,7 +33,7 @@
 	Counters    []Counter
 }
 
-// Collector closes a window at the gateway of a VM and returns its counters.
+// Collector closes a window at the gateway of a VM and returns its counters. For OldestWindow it passes the question on.
 type Collector interface {
 	CollectWindow(ctx context.Context, vm world.VM, window int64, holder string, fence uint64) (Collected, error)
 }
@@ -85,6 +85,8 @@
 	}
 	if len(sealed) > 0 {
 		next = s.firstUnsealed(sealed)
+	} else if next, err = s.firstUsed(a, end); err != nil {
+		return err
 	}
 	for ; next <= end; next += length {
 		if _, err := s.Seal(a, next); err != nil && failed == nil {
@@ -105,6 +107,21 @@
 	return next
 }
 
+// firstUsed returns the start of the oldest window that any gateway holds counters of, for a store without sealed windows. It
+// is at most end, the last window that has ended.
+func (s *Sealer) firstUsed(a *lease.Authority, end int64) (int64, error) {
+	answers, _, err := s.collect(a, OldestWindow, time.Unix(end+s.length(), 0))
+	first := end
+	for _, c := range answers {
+		for _, n := range c.Counters {
+			first = min(first, n.Window)
+		}
+	}
+	// A gateway whose clock was wrong may hold counters of any time.
+	kept := time.Now().Add(-sealedKept).Unix()
+	return max(first, kept/s.length()*s.length()), err
+}
+
 // finish reports a sealed window if needed, and deletes it after its retention.
 func (s *Sealer) finish(a *lease.Authority, o world.Object, start int64) error {
 	var w world.UsageWindow
@@ -123,29 +140,48 @@
 // Seal collects a window, seals it and reports the sealed figures. When another process sealed it first, those figures are
 // the ones that are reported and returned.
 func (s *Sealer) Seal(a *lease.Authority, window int64) (world.UsageWindow, error) {
-	w, err := s.collect(a, window)
+	answers, missing, err := s.collect(a, window, time.Unix(window+s.length(), 0))
 	if err != nil {
-		return w, err
+		return world.UsageWindow{}, err
 	}
-	w, version, err := s.create(a, w)
+	w, version, err := s.create(a, s.merge(a, window, answers, missing))
 	if err != nil || w.Reported {
 		return w, err
 	}
 	return w, s.report(a, w, version)
 }
 
-// collect asks gateways until enough have answered.
-func (s *Sealer) collect(a *lease.Authority, window int64) (world.UsageWindow, error) {
+// ReadSealed returns a function for Options.Sealed that reads sealed windows from the platform.
+func ReadSealed(store platform.Store) func(ctx context.Context, window int64) (*world.UsageWindow, error) {
+	return func(ctx context.Context, window int64) (*world.UsageWindow, error) {
+		o, err := store.Get(ctx, world.KindWindow, strconv.FormatInt(window, 10))
+		if errors.Is(err, platform.ErrNotFound) {
+			return nil, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		var w world.UsageWindow
+		if err := json.Unmarshal(o.Data, &w); err != nil {
+			return nil, errors.Wrapf(err, "window %s is not readable; repair the object", o.Name)
+		}
+		return &w, nil
+	}
+}
+
+// collect asks gateways until enough have answered. One missing answer is tolerated toleranceAfter the window's end. It returns
+// the answers and the VMs without one.
+func (s *Sealer) collect(a *lease.Authority, window int64, ended time.Time) (map[string]Collected, []string, error) {
 	answers := make(map[string]Collected)
-	tolerant := time.Unix(window+s.length(), 0).Add(toleranceAfter)
+	tolerant := ended.Add(toleranceAfter)
 	for {
 		missing, err := s.collectRound(a, window, answers)
 		tolerated := len(missing) == 1 && !time.Now().Before(tolerant)
 		if err == nil && (len(missing) == 0 || tolerated) {
-			return s.merge(a, window, answers, missing), nil
+			return answers, missing, nil
 		}
 		if !sleep(a.Context(), collectEvery) {
-			return world.UsageWindow{}, lease.ErrNoAuthority
+			return nil, nil, lease.ErrNoAuthority
 		}
 	}
 }
@@ -196,14 +232,21 @@
 	for _, name := range missing {
 		covered[name] = true
 	}
-	w := world.UsageWindow{ID: strconv.FormatInt(window, 10), Sealer: s.Holder, Fence: a.Fence(), Teams: make(map[string]world.Usage)}
+	w := world.UsageWindow{ID: strconv.FormatInt(window, 10), Sealer: s.Holder, Fence: a.Fence(), Teams: make(map[string]world.Usage),
+		Covered: make(map[string]map[string]world.Usage)}
 	for k, u := range counters {
 		w.Teams[k.team] = plus(w.Teams[k.team], u)
-		if !answered[k.incarnation] {
-			covered[k.incarnation] = true
+		if answered[k.incarnation] {
+			continue
+		}
+		covered[k.incarnation] = true
+		if w.Covered[k.incarnation] == nil {
+			w.Covered[k.incarnation] = make(map[string]world.Usage)
 		}
+		w.Covered[k.incarnation][k.team] = u
 	}
 	w.Missing = slices.Sorted(maps.Keys(covered))
+	w.Answered = slices.Sorted(maps.Keys(answered))
 	return w
 }
 
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -22,16 +22,18 @@
 
 var one = world.Usage{Requests: 1, PromptTokens: 10, OutputTokens: 5}
 
-// network connects ledgers by name. Names in down don't answer; names in lost accept copies but lose the answer.
+// network connects ledgers by name. Names in down don't answer; names in lost accept copies but lose the answer; names in
+// deaf are not reached by the collection, and those in mute answer it without being heard.
 type network struct {
-	mu         sync.Mutex
-	ledgers    map[string]*Ledger
-	down, lost map[string]bool
-	copies     int
+	mu                     sync.Mutex
+	ledgers                map[string]*Ledger
+	down, lost, deaf, mute map[string]bool
+	copies                 int
 }
 
 func newNetwork(names ...string) *network {
-	n := &network{ledgers: make(map[string]*Ledger), down: make(map[string]bool), lost: make(map[string]bool)}
+	n := &network{ledgers: make(map[string]*Ledger), down: make(map[string]bool), lost: make(map[string]bool),
+		deaf: make(map[string]bool), mute: make(map[string]bool)}
 	for i, name := range names {
 		peers := []string{names[(i+1)%len(names)], names[(i+2)%len(names)]}
 		n.ledgers[name] = NewLedger(Options{Incarnation: name, Copier: n, Peers: func() []string { return peers }})
@@ -62,10 +64,14 @@
 func (n *network) CollectWindow(_ context.Context, vm world.VM, window int64, _ string, _ uint64) (Collected, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.down[vm.Name] {
+	if n.down[vm.Name] || n.deaf[vm.Name] {
 		return Collected{}, errors.New("no answer")
 	}
-	return Collected{Incarnation: vm.Name, Counters: n.ledgers[vm.Name].Close(window)}, nil
+	c := Collected{Incarnation: vm.Name, Counters: n.ledgers[vm.Name].Close(window)}
+	if n.mute[vm.Name] {
+		return Collected{}, errors.New("answer lost")
+	}
+	return c, nil
 }
 
 func (n *network) run(ctx context.Context) {
--- a/internal/world/state.go
+++ b/internal/world/state.go
@@ -265,4 +265,9 @@
 	Reported bool             `json:"reported"`
 	// Missing lists gateway incarnations whose own answer was absent and that peers' copies covered.
 	Missing []string `json:"missing,omitempty"`
+	// Answered lists gateway incarnations whose own answer is part of the figures.
+	Answered []string `json:"answered,omitempty"`
+	// Covered holds the figures that copies gave for other incarnations, by incarnation and team. A gateway that finds itself
+	// neither in Answered nor in Covered knows that none of its counters were sealed in this window.
+	Covered map[string]map[string]Usage `json:"covered,omitempty"`
 }
