Fit the tests of duties to planners that are released

Cause: the planners' signature changed while the tests were written, and the first record of a cleaning delays an action by one planning period, which moved a test's outage past the lease. Change: the tests' endpoints have a cleaning record, as endpoints in service do. Result: internal/duty passes under the race detector.

--- a/internal/duty/bed_test.go
+++ b/internal/duty/bed_test.go
@@ -89,7 +89,7 @@
 	for i, c := range checks {
 		name := fmt.Sprintf("e%d", i+1)
 		endpoints = append(endpoints, world.Endpoint{Name: name, FailureDomain: "roja", Class: world.OnDemand,
-			State: world.EndpointReady, ChecksFence: c})
+			State: world.EndpointReady, ChecksFence: c, LastCleaned: time.Now().UnixMilli()})
 		b.engines[name] = &fakeEngine{checks: c, applied: make(map[string]bool)}
 	}
 	b.mem.SetEndpoints("p", endpoints)
@@ -371,7 +371,7 @@
 func (b *bed) start(name string, planners func() []Planner, c clocks) *proc {
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &proc{bed: b, name: name, cancel: cancel, ended: make(chan struct{})}
-	p.orders = &Orders{Pool: "p", Holder: name, Store: procStore{p}, Fleet: b, NewPlanners: planners, Log: zerolog.Nop(),
+	p.orders = &Orders{Pool: "p", Holder: name, Store: procStore{p}, Fleet: b, NewPlanners: func() ([]Planner, func()) { return planners(), func() {} }, Log: zerolog.Nop(),
 		Control: procControl{p}, NewProvider: func(a *lease.Authority) platform.Provider {
 			b.mu.Lock()
 			defer b.mu.Unlock()
