--- a/internal/balancer/subset.go
+++ b/internal/balancer/subset.go
@@ -129,6 +129,11 @@
 	own, free, untold, open := 0, 0, 0, false
 	for _, s := range p.members {
 		own += s.ownRequests
+	}
+	// Only endpoints of the subset report their load here; they stand for the others.
+	p.order(b.subsetKey)
+	subset := p.members[:p.subsetSize()]
+	for _, s := range subset {
 		untold += b.pending[s.Name].Requests
 		if !s.serves(&Request{}) || s.ejection.excluded(now) {
 			continue
@@ -142,6 +147,8 @@
 	}
 	// Neighbours count the places that this gateway has taken since the last exchange as free, so they are part of what is
 	// divided and of this gateway's share.
+	free = free * len(p.members) / len(subset)
+	tokensPerSecond *= float64(len(p.members)) / float64(len(subset))
 	share := max(0, (free+untold+gateways-1)/gateways-untold)
 	return max(1, own+share), tokensPerSecond / float64(gateways)
 }
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -72,10 +72,10 @@
 		if s := b.state(); len(s.Drained) != 0 || s.Cleaned["e1"] == 0 || !b.inService("e1") || !b.inService("e2") {
 			t.Errorf("after the changes: %+v", s)
 		}
+		b.stop()
 		if b.streams < 100 {
 			t.Errorf("only %d streams ran", b.streams)
 		}
-		b.stop()
 		b.check()
 	})
 }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -27,11 +27,6 @@
 	clockCheckEvery = 250 * time.Millisecond
 	// pollsPerTTL is how often a candidate reads the lease within its lifetime.
 	pollsPerTTL = 10
-	// candidates is the number of processes that read a lease every second. With all 330 controllers reading every lease, the
-	// platform would serve over two thousand reads a second for leases alone.
-	candidates = 3
-	// fallbackEvery is how often the other processes read it, in case all candidates are lost.
-	fallbackEvery = 30 * time.Second
 	// rankDelay is how much longer a candidate waits for each candidate before it, so that leases spread over processes.
 	rankDelay = 500 * time.Millisecond
 	// callTimeout bounds one platform call.
@@ -96,7 +91,7 @@
 			k.hold(a, lead)
 		}
 		// The wait also follows a term, so that another candidate gets its turn when lead fails at once.
-		sleep(ctx, k.tryEvery())
+		sleep(ctx, k.o.TTL/pollsPerTTL)
 	}
 	return ctx.Err()
 }
@@ -163,7 +158,7 @@
 	if k.version != 0 && k.value.Holder == k.o.Holder {
 		return true
 	}
-	behind := time.Duration(min(k.o.Rank(), candidates)) * rankDelay
+	behind := time.Duration(k.o.Rank()) * rankDelay
 	if k.version == 0 || k.value.Holder == "" {
 		if k.free.IsZero() {
 			k.free = time.Now()
@@ -175,14 +170,6 @@
 	return time.Since(k.seen) >= ttl+k.o.Margin+behind
 }
 
-// tryEvery returns the wait between two tries.
-func (k *Keeper) tryEvery() time.Duration {
-	if k.o.Rank() >= candidates {
-		return fallbackEvery
-	}
-	return k.o.TTL / pollsPerTTL
-}
-
 // read refreshes version and value.
 func (k *Keeper) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
