--- a/internal/claim/reconcile.go
+++ b/internal/claim/reconcile.go
@@ -1,7 +1,9 @@
 package claim
 
 import (
+	"cmp"
 	"context"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -45,8 +47,29 @@
 	Endpoints    Asker
 	// Authority tells whether the lease is held; it is checked before each write.
 	Authority func() bool
+	// CallTimeout bounds each question to a gateway or an endpoint; optional. A frozen gateway never answers, and without a
+	// bound its claims would hold up all others.
+	CallTimeout time.Duration
+	// ListAfter is how long a gateway may be silent before its claims are listed as unresolved; optional. It is longer than
+	// the time in which a gateway may still dispatch a claimed call.
+	ListAfter time.Duration
+
+	// DispatchGrace is how long a claim has to be watched before it can become not_run; optional. It is longer than the time
+	// in which a gateway may still dispatch a claimed call, because a gateway of a new VM that the lagging list does not name
+	// yet looks like one that is gone.
+	DispatchGrace time.Duration
+
+	// firstSeen holds, for each attempt that no gateway is known to work on, when that was first noticed.
+	firstSeen map[string]time.Time
 }
 
+// Defaults of Reconciler.
+const (
+	DefaultCallTimeout   = 2 * time.Second
+	DefaultListAfter     = 30 * time.Second
+	DefaultDispatchGrace = 8 * time.Second
+)
+
 // Report counts what a pass did.
 type Report struct {
 	Done, NotRun, Unresolved int
@@ -64,8 +87,10 @@
 	if err != nil {
 		return report, err
 	}
+	p := &pass{Reconciler: r, silent: make(map[string]bool), seen: make(map[string]time.Time)}
+	defer func() { r.firstSeen = p.seen }()
 	for _, c := range open {
-		state, outcome := r.decide(ctx, c)
+		state, outcome := p.decide(ctx, c)
 		if !r.Authority() {
 			return report, ErrNoAuthority
 		}
@@ -76,30 +101,67 @@
 	return report, nil
 }
 
+// pass is one pass over the open claims.
+type pass struct {
+	*Reconciler
+	// silent holds gateways that did not answer in this pass. They are not asked again, so each costs one time-out.
+	silent map[string]bool
+	seen   map[string]time.Time
+}
+
 // decide returns the state that a claim should have.
-func (r *Reconciler) decide(ctx context.Context, c world.Claim) (world.ClaimState, Outcome) {
+func (p *pass) decide(ctx context.Context, c world.Claim) (world.ClaimState, Outcome) {
 	// The order matters: an endpoint's "unknown" counts only when the gateway was gone before the question.
-	gone, err := r.Incarnations.Gone(ctx, c.Gateway)
-	if err != nil {
+	gone, owns, answered := p.askGateway(ctx, c)
+	if answered && owns {
 		return c.State, Outcome{}
 	}
-	if c.State == world.ClaimClaimed && !gone {
-		if owns, err := r.Incarnations.Owns(ctx, c.Gateway, c.Attempt); err != nil || owns {
-			return c.State, Outcome{}
-		}
-	}
-	answer, err := r.Endpoints.Ask(ctx, c)
+	watched := p.watched(c)
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(p.CallTimeout, DefaultCallTimeout))
+	defer cancel()
+	answer, err := p.Endpoints.Ask(ctx, c)
 	switch {
-	case err != nil:
-		return world.ClaimUnresolved, Outcome{}
-	case answer.State == AnswerDone:
+	case err == nil && answer.State == AnswerDone:
+		// The outcome is final, whatever became of the gateway.
 		return world.ClaimDone, answer.Outcome
-	case answer.State == AnswerUnknown && gone && c.Instance != "" && answer.Instance == c.Instance:
+	case !answered && watched < cmp.Or(p.ListAfter, DefaultListAfter):
+		return c.State, Outcome{}
+	case gone && watched < cmp.Or(p.DispatchGrace, DefaultDispatchGrace):
+		return c.State, Outcome{}
+	case err == nil && answer.State == AnswerUnknown && gone && c.Instance != "" && answer.Instance == c.Instance:
 		return world.ClaimNotRun, Outcome{}
 	}
 	return world.ClaimUnresolved, Outcome{}
 }
 
+// watched returns how long ago a claim that no gateway is known to work on was first seen, on this process's clock.
+func (p *pass) watched(c world.Claim) time.Duration {
+	first, known := p.firstSeen[c.Attempt]
+	if !known {
+		first = time.Now()
+	}
+	p.seen[c.Attempt] = first
+	return time.Since(first)
+}
+
+// askGateway tells what became of the gateway of a claim, and whether it still works on it.
+func (p *pass) askGateway(ctx context.Context, c world.Claim) (gone, owns, answered bool) {
+	if p.silent[c.Gateway] {
+		return false, true, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(p.CallTimeout, DefaultCallTimeout))
+	defer cancel()
+	gone, err := p.Incarnations.Gone(ctx, c.Gateway)
+	if err == nil && !gone && c.State == world.ClaimClaimed {
+		owns, err = p.Incarnations.Owns(ctx, c.Gateway, c.Attempt)
+	}
+	if err != nil {
+		p.silent[c.Gateway] = true
+		return false, true, false
+	}
+	return gone, owns, true
+}
+
 func (r *Reconciler) record(ctx context.Context, c world.Claim, state world.ClaimState, outcome Outcome, report *Report) error {
 	var err error
 	switch state {
--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -267,13 +267,27 @@
 // incarnations asks gateways about themselves. It implements claim.Incarnations. Gateways are named "<vm>.<incarnation>".
 type incarnations struct{ *node }
 
+// splitGateway returns VM and incarnation. The name of a VM may hold dots, an incarnation holds none.
+func splitGateway(gateway string) (vmName, incarnation string) {
+	i := strings.LastIndex(gateway, ".")
+	if i < 0 {
+		return gateway, ""
+	}
+	return gateway[:i], gateway[i+1:]
+}
+
 // Gone implements claim.Incarnations.
 func (i *incarnations) Gone(ctx context.Context, gateway string) (bool, error) {
-	name, incarnation, _ := strings.Cut(gateway, ".")
-	vm, ok := i.members.VM(name)
-	if !ok {
+	name, incarnation := splitGateway(gateway)
+	// A process counts its own VM as a member, also when the VM has left the list.
+	listed, err := i.members.Listed(name)
+	if err != nil {
+		return false, err
+	}
+	if !listed {
 		return true, nil
 	}
+	vm, _ := i.members.VM(name)
 	s, err := i.status(ctx, vm)
 	if err != nil {
 		return false, err
@@ -283,7 +297,7 @@
 
 // Owns implements claim.Incarnations.
 func (i *incarnations) Owns(ctx context.Context, gateway, attempt string) (bool, error) {
-	name, incarnation, _ := strings.Cut(gateway, ".")
+	name, incarnation := splitGateway(gateway)
 	vm, ok := i.members.VM(name)
 	if !ok {
 		return false, nil
--- /dev/null
+++ b/internal/e2e/atmostonce_test.go
@@ -0,0 +1,342 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"crocusglade.example/crocusglade/internal/apierror"
+	"crocusglade.example/crocusglade/internal/fault"
+	"crocusglade.example/crocusglade/internal/platform/memplatform"
+	"crocusglade.example/crocusglade/internal/standin"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+// restartGateway kills a VM's gateway and starts a new one.
+func (c *cluster) restartGateway(v *vm) {
+	if err := v.gateway.Kill(); err != nil {
+		c.t.Error(err)
+	}
+	c.startGateway(v)
+}
+
+// submitAt starts a submission and returns a function that waits for its reply.
+func (d *declarations) submitAt(vm int, key string) func() reply {
+	done := make(chan reply, 1)
+	go func() { done <- d.submit(vm, key, declaredBody(key)) }()
+	return func() reply { return <-done }
+}
+
+// serviceFaults sets the faults of all services.
+func (c *cluster) serviceFaults(f standin.ServiceFaults) {
+	for _, s := range c.services {
+		s.SetFaults(f)
+	}
+}
+
+func (c *cluster) executed() int { return len(c.executions()) }
+
+// Guards against a declaration that runs twice, or whose outcome is lost, when its caller repeats it at other gateways while
+// the endpoint is slow, cuts its answer, or the platform loses answers or is out.
+func TestRepeatsAtOtherGatewaysRunOnce(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, options{services: 2})
+	d := &declarations{c: c}
+
+	c.serviceFaults(standin.ServiceFaults{Slow: 400 * time.Millisecond})
+	first := d.submitAt(0, "slow")
+	c.await("the slow execution", func() bool { return c.executed() == 1 })
+	for vm := 1; vm < vmCount; vm++ {
+		if r := d.submit(vm, "slow", declaredBody("slow")); r.err.Kind != apierror.InProgress && !r.whole {
+			t.Errorf("a repeat at once got %d %s", r.status, r.body)
+		}
+	}
+	if r := first(); !r.whole {
+		t.Errorf("the slow call got %d %s", r.status, r.body)
+	}
+
+	c.serviceFaults(standin.ServiceFaults{CutAfterExecuting: true, Times: 1})
+	d.submit(1, "cut", declaredBody("cut"))
+	c.serviceFaults(standin.ServiceFaults{CutBefore: true, Times: 1})
+	if r := d.submit(2, "cut before", declaredBody("cut before")); r.err.Run == apierror.NotRun {
+		t.Errorf("a call that was sent and cut was refused as not run")
+	}
+	c.serviceFaults(standin.ServiceFaults{WrongID: true, Times: 1})
+	d.submit(3, "crossed", declaredBody("crossed"))
+	c.serviceFaults(standin.ServiceFaults{ShortBody: true, Times: 1})
+	d.submit(3, "short", declaredBody("short"))
+	c.serviceFaults(standin.ServiceFaults{})
+
+	c.mem.UpdateFaults(func(f *memplatform.Faults) { f.LoseAnswers = 3 })
+	d.submit(0, "lost", declaredBody("lost"))
+
+	c.mem.UpdateFaults(func(f *memplatform.Faults) { f.Down = true })
+	for vm := range vmCount {
+		if r := d.submit(vm, "outage", declaredBody("outage")); r.err.Run != apierror.NotRun {
+			t.Errorf("a call in an outage got %d %s", r.status, r.body)
+		}
+	}
+	c.mem.UpdateFaults(func(f *memplatform.Faults) { f.Down = false })
+	d.settle()
+
+	for _, key := range d.keys() {
+		for vm := range vmCount {
+			d.submit(vm, key, declaredBody(key))
+		}
+	}
+	if r := d.submit(1, "slow", `{"another":"body"}`); r.err.Kind != apierror.IdempotencyMismatch {
+		t.Errorf("a key with another body got %d %s", r.status, r.body)
+	}
+	d.settle()
+	d.check()
+	c.check()
+}
+
+// Guards against a declaration that runs twice, or is lost in silence, when its gateway is killed before the call, between
+// claim and outcome, and after the outcome, while its caller repeats it elsewhere.
+func TestKilledGatewayLosesNoDeclaration(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, options{services: 2})
+	d := &declarations{c: c}
+
+	d.awaitInstance(c.vms[2])
+
+	// After the outcome.
+	if r := d.submit(0, "after", declaredBody("after")); !r.whole {
+		t.Fatalf("the call got %d %s", r.status, r.body)
+	}
+	c.restartGateway(c.vms[0])
+
+	// Between the dispatch and the outcome. The repeats come before and after the reconciliation.
+	c.serviceFaults(standin.ServiceFaults{Slow: time.Second})
+	before := c.executed()
+	call := d.submitAt(1, "between")
+	c.await("the execution", func() bool { return c.executed() > before })
+	c.restartGateway(c.vms[1])
+	call()
+	d.submit(2, "between", declaredBody("between"))
+	c.serviceFaults(standin.ServiceFaults{})
+
+	// Between the claim and the dispatch: the platform's answer comes late enough to kill the gateway before it.
+	c.vms[2].platform.SetDelay(100 * time.Millisecond)
+	known := len(c.claims())
+	call = d.submitAt(2, "claimed")
+	c.awaitNewClaim(known)
+	c.vms[2].gateway.Kill()
+	call()
+	c.vms[2].platform.SetDelay(0)
+	d.submit(3, "claimed", declaredBody("claimed"))
+
+	// Before the call: nobody listens.
+	d.submit(2, "before", declaredBody("before"))
+	d.submit(3, "before", declaredBody("before"))
+	c.startGateway(c.vms[2])
+	for _, v := range c.vms {
+		c.awaitReady(v)
+	}
+	d.settle()
+	for _, key := range d.keys() {
+		for vm := range vmCount {
+			if r := d.submit(vm, key, declaredBody(key)); !r.whole {
+				t.Errorf("key %s at %s after the reconciliation: %d %s", key, c.vms[vm].Name, r.status, r.body)
+			}
+		}
+	}
+	d.settle()
+	d.check()
+	c.check()
+}
+
+// Guards against a gateway that is stopped between claim and dispatch, is given up meanwhile, and sends its call after it
+// wakes, when a repeat has run elsewhere.
+func TestFrozenGatewayDoesNotDispatchLate(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, options{})
+	d := &declarations{c: c}
+	frozen := c.vms[1]
+	d.awaitInstance(frozen)
+	frozen.platform.SetDelay(200 * time.Millisecond)
+	known := len(c.claims())
+	call := d.submitAt(frozen.index, "frozen")
+	claimed := c.awaitNewClaim(known)
+	claimedAt := time.Now()
+	if err := frozen.gateway.Freeze(); err != nil {
+		t.Fatal(err)
+	}
+	frozen.platform.SetDelay(0)
+	if _, ran := c.executions()[claimed.RequestID]; ran {
+		t.Fatal("the call was sent before the gateway was frozen")
+	}
+	if r := d.submit(0, "frozen", declaredBody("frozen")); r.whole {
+		t.Error("a repeat ran while the claim was open")
+	}
+	// The VM leaves the list, so that its claims are reconciled. The endpoint knows nothing of the call.
+	var rest []world.VM
+	for _, v := range c.vms {
+		if v != frozen {
+			rest = append(rest, v.VM)
+		}
+	}
+	c.mem.SetVMs(rest)
+	c.await("a repeat to run", func() bool { return d.submit(2, "frozen", declaredBody("frozen")).whole })
+	time.Sleep(time.Until(claimedAt.Add(dispatchLimit + time.Second)))
+	c.listVMs()
+	if err := frozen.gateway.Thaw(); err != nil {
+		t.Fatal(err)
+	}
+	if r := call(); r.whole && r.executionID() == claimed.RequestID {
+		t.Errorf("the frozen gateway's call ran: %s", r.body)
+	}
+	d.settle()
+	d.check()
+	c.check()
+}
+
+// Guards against a refusal that says "not run" for a request that reached an endpoint: requests of both kinds while each step
+// between admission and first byte fails.
+func TestNotRunIsTrue(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, options{engines: 2, services: 2, engine: standin.EngineConfig{Slots: 2, DecodeRate: 400}})
+	d := &declarations{c: c}
+	steps := []struct {
+		name       string
+		start, end func()
+	}{
+		{"engines cut at once", func() { c.engineFaults(standin.EngineFaults{CutAfter: -1}) }, func() { c.engineFaults(standin.EngineFaults{}) }},
+		{"engines stop in mid-stream", func() { c.engineFaults(standin.EngineFaults{CutAfter: 3, RefuseResume: true}) }, func() { c.engineFaults(standin.EngineFaults{}) }},
+		{"engines answer garbage", func() { c.engineFaults(standin.EngineFaults{GarbageAfter: -1}) }, func() { c.engineFaults(standin.EngineFaults{}) }},
+		{"engines answer others", func() { c.engineFaults(standin.EngineFaults{WrongID: true}) }, func() { c.engineFaults(standin.EngineFaults{}) }},
+		{"engines down", func() { c.crashEngines(500 * time.Millisecond) }, func() {}},
+		{"services cut before executing", func() { c.serviceFaults(standin.ServiceFaults{CutBefore: true}) }, func() { c.serviceFaults(standin.ServiceFaults{}) }},
+		{"services cut after executing", func() { c.serviceFaults(standin.ServiceFaults{CutAfterExecuting: true}) }, func() { c.serviceFaults(standin.ServiceFaults{}) }},
+		{"services refuse", func() { c.serviceFaults(standin.ServiceFaults{RefuseBefore: true}) }, func() { c.serviceFaults(standin.ServiceFaults{}) }},
+		{"platform out", func() { c.mem.UpdateFaults(func(f *memplatform.Faults) { f.Down = true }) }, func() { c.mem.UpdateFaults(func(f *memplatform.Faults) { f.Down = false }) }},
+		{"platform's answers lost", func() { c.mem.UpdateFaults(func(f *memplatform.Faults) { f.LoseAnswers = 20 }) }, func() { c.mem.UpdateFaults(func(f *memplatform.Faults) { f.LoseAnswers = 0 }) }},
+		{"platform's answers held back", func() { c.platformLinks(fault.DropAnswers) }, func() { c.platformLinks(fault.Pass) }},
+		{"a gateway cut off", func() { c.isolate(c.vms[0], true) }, func() { c.heal(c.vms[0]) }},
+	}
+	for i, s := range steps {
+		s.start()
+		var calls sync.WaitGroup
+		for n := range 12 {
+			calls.Go(func() {
+				prompt, start := fmt.Sprintf("%s %d", s.name, n), time.Now()
+				c.record(n%vmCount, "clerks", "chat", start, c.chat(n%vmCount, "clerks", prompt, 8, n%2 == 0), expected(prompt, 8))
+			})
+			calls.Go(func() {
+				key := fmt.Sprintf("step-%d-%d", i, n)
+				d.submit(n%vmCount, key, declaredBody(key))
+			})
+			calls.Go(func() {
+				// The caller leaves soon, or gives a deadline that may not be met.
+				path, header := fmt.Sprintf("/svc/lines/of/clerks/%d-%d", i, n), map[string]string{"X-Request-Deadline-Ms": fmt.Sprint(1 + n)}
+				start := time.Now()
+				r := c.call(n%vmCount, "clerks", http.MethodGet, path, "", header)
+				c.record(n%vmCount, "clerks", "lines", start, r, r.text)
+			})
+		}
+		calls.Wait()
+		s.end()
+		c.await("service after the step", func() bool {
+			for vm := range vmCount {
+				if c.call(vm, "clerks", http.MethodGet, "/svc/lines/of/clerks/ready", "", nil).status != http.StatusOK {
+					return false
+				}
+			}
+			return true
+		})
+	}
+	notRun := 0
+	for _, r := range c.history.Requests {
+		if r.Run == string(apierror.NotRun) {
+			notRun++
+		}
+	}
+	if notRun == 0 {
+		t.Error("no request was refused as not run, so the run shows nothing")
+	}
+	t.Logf("%d of %d requests were refused as not run", notRun, len(c.history.Requests))
+	d.settle()
+	d.check()
+	c.check()
+}
+
+func (c *cluster) engineFaults(f standin.EngineFaults) {
+	for _, e := range c.engines {
+		e.SetFaults(f)
+	}
+}
+
+func (c *cluster) crashEngines(downtime time.Duration) {
+	for _, e := range c.engines {
+		e.Crash(downtime)
+	}
+}
+
+func (c *cluster) platformLinks(m fault.Mode) {
+	for _, v := range c.vms {
+		v.platform.SetMode(m)
+	}
+}
+
+// Guards against an interleaving of submissions at four gateways that no single execution explains, while gateways are
+// killed and frozen, services cut answers and the platform fails.
+func TestConcurrentSubmissions(t *testing.T) {
+	for _, seed := range []uint64{1, 2} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, options{services: 2, service: standin.ServiceConfig{Faults: standin.ServiceFaults{Slow: 20 * time.Millisecond}}})
+			d := &declarations{c: c}
+			ctx, stop := context.WithCancel(context.Background())
+			var callers sync.WaitGroup
+			for worker := range 8 {
+				callers.Go(func() {
+					rng := rand.New(rand.NewPCG(seed, uint64(worker)))
+					for ctx.Err() == nil {
+						key := fmt.Sprintf("declaration-%d", rng.IntN(60))
+						d.submit(rng.IntN(vmCount), key, declaredBody(key))
+					}
+				})
+			}
+			rng := rand.New(rand.NewPCG(seed, 1000))
+			for range 4 {
+				v := c.vms[rng.IntN(vmCount)]
+				pause := time.Duration(200+rng.IntN(800)) * time.Millisecond
+				switch rng.IntN(5) {
+				case 0:
+					c.restartGateway(v)
+				case 1:
+					v.gateway.Freeze()
+					time.Sleep(pause)
+					v.gateway.Thaw()
+				case 2:
+					c.serviceFaults(standin.ServiceFaults{CutAfterExecuting: true, Times: 3})
+				case 3:
+					c.mem.UpdateFaults(func(f *memplatform.Faults) { f.LoseAnswers = 5 })
+				case 4:
+					c.mem.UpdateFaults(func(f *memplatform.Faults) { f.Down = true })
+					time.Sleep(pause)
+					c.mem.UpdateFaults(func(f *memplatform.Faults) { f.Down = false })
+				}
+				time.Sleep(pause)
+			}
+			stop()
+			callers.Wait()
+			for _, v := range c.vms {
+				c.awaitReady(v)
+			}
+			c.serviceFaults(standin.ServiceFaults{})
+			d.settle()
+			for _, key := range d.keys() {
+				d.submit(rng.IntN(vmCount), key, declaredBody(key))
+			}
+			d.settle()
+			d.check()
+			c.check()
+		})
+	}
+}
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"crocusglade.example/crocusglade/internal/platform"
 	"crocusglade.example/crocusglade/internal/world"
 )
@@ -47,6 +50,8 @@
 	all, live  []world.VM
 	byName     map[string]world.VM
 	neighbours []world.VM
+	// listed holds the names in the platform's list; nil before the first list.
+	listed map[string]bool
 }
 
 // New returns members that know only self, the VM that the process runs on according to its settings.
@@ -59,6 +64,12 @@
 // newView adds self when the list does not have it yet, which happens on a new VM because the list lags.
 func newView(self world.VM, vms []world.VM) *view {
 	v := &view{all: slices.Clone(vms), byName: make(map[string]world.VM, len(vms)+1)}
+	if len(vms) > 0 {
+		v.listed = make(map[string]bool, len(vms))
+	}
+	for _, vm := range vms {
+		v.listed[vm.Name] = true
+	}
 	if !slices.ContainsFunc(vms, func(vm world.VM) bool { return vm.Name == self.Name }) {
 		self.State = world.VMLive
 		v.all = append(v.all, self)
@@ -101,7 +112,7 @@
 		return
 	}
 	old, next := m.view.Load(), newView(m.self, vms)
-	if slices.Equal(old.all, next.all) {
+	if slices.Equal(old.all, next.all) && old.listed != nil && maps.Equal(old.listed, next.listed) {
 		return
 	}
 	m.view.Store(next)
@@ -137,6 +148,16 @@
 	return vm, ok
 }
 
+// Listed tells whether the platform's list has a VM. It returns an error before the first list has come. Other than VM, it does
+// not count this VM as listed by itself.
+func (m *Members) Listed(name string) (bool, error) {
+	v := m.view.Load()
+	if v.listed == nil {
+		return false, errors.New("membership: the platform's list of VMs has not been read yet; try again later")
+	}
+	return v.listed[name], nil
+}
+
 // Neighbours returns the VMs that this one exchanges updates with. The caller must not change the slice.
 func (m *Members) Neighbours() []world.VM { return m.view.Load().neighbours }
 
--- a/internal/membership/members_test.go
+++ b/internal/membership/members_test.go
@@ -116,3 +116,26 @@
 		t.Fatalf("copy peers %v", peers)
 	}
 }
+
+// Guards against a VM that counts as gone before the list has been read, and against one that its own processes count as listed
+// for ever: the claims of its gateway would be released too early, or never.
+func TestListed(t *testing.T) {
+	p := memplatform.New()
+	list := vms(3, 3)
+	m := New(list[0], p)
+	if _, err := m.Listed("vm-001"); err == nil {
+		t.Fatal("a VM is listed or gone before the first list")
+	}
+	for _, c := range []struct {
+		list []world.VM
+		want []bool
+	}{{list, []bool{true, true, true}}, {list[1:], []bool{false, true, true}}, {list[:1], []bool{true, false, false}}} {
+		p.SetVMs(c.list)
+		m.Refresh(context.Background())
+		for i, vm := range list {
+			if got, err := m.Listed(vm.Name); err != nil || got != c.want[i] {
+				t.Errorf("with %d VMs %s is listed: %v, %v", len(c.list), vm.Name, got, err)
+			}
+		}
+	}
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -85,6 +85,8 @@
 	Stream        bool
 	Header        http.Header
 	Body          []byte
+	// At is the time of arrival.
+	At time.Time
 }
 
 // EngineOrder is one control order that an engine received.
--- a/internal/standin/engine_data.go
+++ b/internal/standin/engine_data.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/google/uuid"
 
@@ -54,7 +55,7 @@
 	prompt := d.prompt(chat)
 	e.mu.Lock()
 	e.requestLog = append(e.requestLog, EngineRequest{ID: id, Prompt: prompt, Priority: d.Priority, CacheSalt: d.CacheSalt,
-		ContinueAfter: d.ContinueAfter, Stream: d.Stream, Header: r.Header.Clone(), Body: body})
+		ContinueAfter: d.ContinueAfter, Stream: d.Stream, Header: r.Header.Clone(), Body: body, At: time.Now()})
 	refuse := e.control.draining || e.control.changing
 	_, known := e.requests[id]
 	e.mu.Unlock()
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -47,6 +47,8 @@
 	URI    string
 	Header http.Header
 	Body   []byte
+	// At is the time of arrival.
+	At time.Time
 }
 
 type serviceRecord struct {
@@ -155,7 +157,7 @@
 	}
 	id := r.Header.Get("X-Request-Id")
 	s.mu.Lock()
-	s.calls = append(s.calls, ServiceCall{id, r.Method, r.URL.RequestURI(), r.Header.Clone(), body})
+	s.calls = append(s.calls, ServiceCall{id, r.Method, r.URL.RequestURI(), r.Header.Clone(), body, time.Now()})
 	f := s.takeFaults()
 	s.mu.Unlock()
 	switch {
