--- a/internal/admission/predict.go
+++ b/internal/admission/predict.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"crocusglade.example/crocusglade/internal/world"
 )
 
 const (
@@ -44,9 +46,6 @@
 // predictWait returns the predicted wait in seconds of a request that would now be queued. Ahead of it are the waiting work
 // of more urgent classes, and of its own class what fair queuing serves before its team's next turn.
 func (p *pool) predictWait(w *waiter) float64 {
-	if p.concurrent <= 0 {
-		return math.Inf(1)
-	}
 	rate := p.measured.value(p.rate)
 	if rate <= 0 {
 		return 0
@@ -73,3 +72,10 @@
 	// Behind an urgent queue the class is served at least at its floor.
 	return min((float64(urgent)+ahead)/rate, (ahead+float64(w.tokens))/(classFloor*rate))
 }
+
+// EnginePriority returns the priority that an engine is given for an admitted request; lower runs first. Admission has
+// already served the lower classes their floor, so only urgent requests go first at the engine: engines serve priorities
+// strictly, and batch requests else waited there for up to 26 s while a flood of normal ones was admitted.
+func EnginePriority(p world.Priority) int {
+	return min(classOf(p), int(world.PriorityNormal))
+}
--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -40,6 +40,7 @@
 	collector *controller.Collector
 	fleet     *fleetTable
 	endpoints *endpoint.Client
+	demand    *demandReader
 }
 
 // ControllerParts constructs the parts of a controller.
@@ -61,6 +62,7 @@
 		Part{Name: "provider lists", Run: c.directory.Run},
 		Part{Name: "collector", Run: c.collector.Run},
 		Part{Name: "load", Run: loads.Run},
+		Part{Name: "demand", Run: c.demand.Run},
 		Part{Name: "orders", Run: c.runOrders},
 		Part{Name: "usage windows", Run: c.runUsage},
 		Part{Name: "claims", Run: c.runClaims},
@@ -82,7 +84,7 @@
 	// A controller's calls to endpoints are control, a gateway's carry requests.
 	endpoints := base.endpointOptions()
 	endpoints.DialContext = base.dialer(telemetry.LinkEndpoint, endpoint.DefaultDialTimeout)
-	c := &controllerNode{node: base, endpoints: endpoint.New(endpoints)}
+	c := &controllerNode{node: base, endpoints: endpoint.New(endpoints), demand: newDemandReader(base.members, base.clients)}
 	c.supply = config.NewSupply(base.settings.VMName, base.members.All, source, subscriber)
 	c.relay = config.NewRelay(base.holder, base.freshness)
 	c.directory = controller.NewDirectory(base.settings.VMName, base.holder, base.members, base.platform, base.clients.DialController)
@@ -168,9 +170,9 @@
 }
 
 func (c *controllerNode) orders(pool string) *duty.Orders {
-	return &duty.Orders{Pool: pool, Holder: c.holderName(), Store: c.platform, Fleet: c.fleet, Log: c.telemetry.Log,
+	return &duty.Orders{Pool: pool, Holder: c.holderName(), Store: c.platform, Fleet: c.fleet, Log: c.telemetry.Log, Rank: c.members.Rank,
 		NewProvider: func(a *lease.Authority) platform.Provider { return c.boundPlatform(a) },
-		NewPlanners: newPlanners}
+		NewPlanners: c.newPlanners}
 }
 
 // boundPlatform returns a platform client whose connections end with the authority.
@@ -186,7 +188,7 @@
 // runUsage seals and reports usage windows while it holds the lease.
 func (c *controllerNode) runUsage(ctx context.Context) error {
 	return c.whileCandidate(ctx, string(world.DutyUsage), func(ctx context.Context) error {
-		return duty.RunUsage(ctx, c.platform, c.holderName(), func(a *lease.Authority) {
+		return duty.RunUsage(ctx, c.platform, c.holderName(), c.members.Rank, func(a *lease.Authority) {
 			sealer := &usage.Sealer{Store: c.platform, VMs: c.platform, Sink: c.boundPlatform(a), Collector: &windowCollector{c.node},
 				Holder: c.holderName(), WindowLength: int64(c.settings.WindowLength / time.Second)}
 			sealer.Run(a)
@@ -200,7 +202,7 @@
 	r := claim.Reconciler{Store: store, Incarnations: &incarnations{c.node},
 		Endpoints: claim.EndpointAsker{Client: c.endpoints, Addr: c.fleet.address}}
 	return c.whileCandidate(ctx, string(world.DutyClaims), func(ctx context.Context) error {
-		return duty.RunClaims(ctx, c.platform, c.holderName(), r, c.telemetry.Log)
+		return duty.RunClaims(ctx, c.platform, c.holderName(), c.members.Rank, r, c.telemetry.Log)
 	})
 }
 
@@ -339,13 +341,27 @@
 // incarnations asks gateways about themselves. It implements claim.Incarnations. Gateways are named "<vm>.<incarnation>".
 type incarnations struct{ *node }
 
+// splitGateway returns VM and incarnation. The name of a VM may hold dots, an incarnation holds none.
+func splitGateway(gateway string) (vmName, incarnation string) {
+	i := strings.LastIndex(gateway, ".")
+	if i < 0 {
+		return gateway, ""
+	}
+	return gateway[:i], gateway[i+1:]
+}
+
 // Gone implements claim.Incarnations.
 func (i *incarnations) Gone(ctx context.Context, gateway string) (bool, error) {
-	name, incarnation, _ := strings.Cut(gateway, ".")
-	vm, ok := i.members.VM(name)
-	if !ok {
+	name, incarnation := splitGateway(gateway)
+	// A process counts its own VM as a member, also when the VM has left the list.
+	listed, err := i.members.Listed(name)
+	if err != nil {
+		return false, err
+	}
+	if !listed {
 		return true, nil
 	}
+	vm, _ := i.members.VM(name)
 	s, err := i.status(ctx, vm)
 	if err != nil {
 		return false, err
@@ -355,7 +371,7 @@
 
 // Owns implements claim.Incarnations.
 func (i *incarnations) Owns(ctx context.Context, gateway, attempt string) (bool, error) {
-	name, incarnation, _ := strings.Cut(gateway, ".")
+	name, incarnation := splitGateway(gateway)
 	vm, ok := i.members.VM(name)
 	if !ok {
 		return false, nil
@@ -385,6 +401,3 @@
 	}
 	return client.GetStatus(ctx, &peerpb.StatusRequest{})
 }
-
-// newPlanners returns the planners of a term, in order of precedence.
-func newPlanners() []duty.Planner { return nil }
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -32,8 +32,8 @@
 	retryRatio = 0.1
 	// quarantineFor is how long a request that crashed endpoints is refused.
 	quarantineFor = 10 * time.Minute
-	// capacityEvery is how often admission learns of the pools' capacity.
-	capacityEvery = 250 * time.Millisecond
+	// capacityEvery is how often admission learns of the pools' capacity. The measurements of admission use the same period.
+	capacityEvery = 50 * time.Millisecond
 	// readyEvery is how often readiness is looked at.
 	readyEvery = 100 * time.Millisecond
 	// forgetUsageAfter is how long counters of closed windows are kept.
@@ -54,6 +54,7 @@
 	readiness  *peer.Readiness
 	neighbours *neighbours
 	entry      *entry
+	demand     *demandMeter
 }
 
 // GatewayParts constructs the parts of a gateway.
@@ -87,7 +88,7 @@
 
 func newGatewayNode(base *node, s *settings.Gateway) *gatewayNode {
 	g := &gatewayNode{node: base, admission: admission.New(), balancer: balancer.New(seed(base.incarnation)),
-		quarantine: retry.NewQuarantine(quarantineFor), burn: burn.NewRecorder(burn.DefaultObjective)}
+		quarantine: retry.NewQuarantine(quarantineFor), burn: burn.NewRecorder(burn.DefaultObjective), demand: newDemandMeter()}
 	g.admission.SetSelf(s.VMName)
 	g.neighbours = newNeighbours(g.admission, g.balancer, g.quarantine)
 	g.neighbours.large = func() bool { return len(g.members.Live()) > membership.MaxNeighbours+1 }
@@ -98,7 +99,7 @@
 	g.entry = &entry{self: g.self, members: g.members, mesh: g.mesh}
 	copier := &usageCopier{node: base, mesh: g.mesh}
 	g.ledger = usage.NewLedger(usage.Options{Incarnation: s.VMName + "." + g.incarnation, WindowLength: int64(s.WindowLength / time.Second),
-		Peers: copier.peers, Copier: copier})
+		Peers: copier.peers, Copier: copier, Sealed: usage.ReadSealed(g.platform)})
 	claims := claim.NewStore(claim.Options{Platform: g.platform, Log: g.telemetry.Log})
 	g.gateway = gateway.New(gateway.Options{
 		VM: s.VMName, Incarnation: g.incarnation, Config: g.holder, Keyring: g.keyring, Admission: g.admission, Balancer: g.balancer,
@@ -108,6 +109,7 @@
 		HandOver: claims.Flush, Log: g.telemetry.Log, EntryLifetime: s.EntryLifetime,
 	})
 	g.neighbours.draining = g.gateway.Draining
+	g.neighbours.tellDeath = g.mesh.TellDeath
 	return g
 }
 
@@ -195,6 +197,7 @@
 // came within the team's target.
 func (g *gatewayNode) observe(o gateway.Observation) {
 	ctx := context.Background()
+	g.demand.observe(o)
 	target := world.DefaultFirstTokenTarget
 	if t := g.holder.Current().Team(o.Team); t != nil && t.FirstTokenTargetMS > 0 {
 		target = time.Duration(t.FirstTokenTargetMS) * time.Millisecond
--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -29,6 +29,7 @@
 	balancer   *balancer.Balancer
 	quarantine *retry.Quarantine
 	draining   func() bool
+	tellDeath  func(context.Context, peer.Death)
 	// large tells whether there are gateways that are no neighbours.
 	large func() bool
 
@@ -99,11 +100,14 @@
 // Draining implements peer.Local.
 func (n *neighbours) Draining() bool { return n.draining() }
 
-// died tells neighbours that an endpoint died under a request.
+// died tells neighbours that an endpoint died under a request, and returns once they know: the caller may repeat the request at
+// one of them at once.
 func (n *neighbours) died(fingerprint uint64, endpoint string) {
+	death := peer.Death{Fingerprint: fingerprint, Endpoint: endpoint}
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.deaths = append(n.deaths, peer.Death{Fingerprint: fingerprint, Endpoint: endpoint})
+	n.deaths = append(n.deaths, death)
+	n.mu.Unlock()
+	n.tellDeath(context.Background(), death)
 }
 
 // NeighbourDemand implements peer.Remote. The message holds changed teams only.
@@ -281,7 +285,7 @@
 // PeerStatus implements peer.StatusSource.
 func (s *gatewayService) PeerStatus() *peerpb.StatusResponse {
 	return &peerpb.StatusResponse{Draining: s.gateway.Draining(), Ready: s.readiness.Ready(), InFlight: int32(s.gateway.InFlight()),
-		Attempts: s.gateway.Attempts()}
+		Attempts: s.gateway.Attempts(), Demand: s.demand.messages()}
 }
 
 // PeerBurn implements peer.BurnSource.
--- a/internal/duty/orders.go
+++ b/internal/duty/orders.go
@@ -23,6 +23,10 @@
 	settle = 5 * time.Second
 	// pollEvery is how often an action looks at the endpoint's reports.
 	pollEvery = 250 * time.Millisecond
+	// settlePollEvery is how often the platform is tried during the settle time.
+	settlePollEvery = time.Second
+	// providerPollEvery is how often an action reads the provider's list; each read counts against the platform's rates.
+	providerPollEvery = time.Second
 	// emptyWithin bounds the wait for the last stream of a drained endpoint; the action is given up after it.
 	emptyWithin = 30 * time.Minute
 	// changeWithin bounds the wait for an engine to carry out a change.
@@ -42,9 +46,11 @@
 	// NewProvider returns a provider client whose connections are bound to the authority.
 	NewProvider func(a *lease.Authority) platform.Provider
 	Fleet       Fleet
-	// NewPlanners returns fresh planners for a term, in order of precedence.
-	NewPlanners func() []Planner
+	// NewPlanners returns fresh planners for a term, in order of precedence, and a function that ends their use.
+	NewPlanners func() (planners []Planner, release func())
 	Log         zerolog.Logger
+	// Rank spreads the leases of pools over controllers; nil means that all try at once.
+	Rank Rank
 	// Control, when not nil, replaces the control protocol of engines; for tests.
 	Control order.Control
 	// Settle replaces the wait for gateways to learn of a drain; for tests. Zero means 5 s.
@@ -56,7 +62,8 @@
 
 // Run competes for the lease until ctx ends.
 func (o *Orders) Run(ctx context.Context) error {
-	k := lease.NewKeeper(lease.Options{Store: o.Store, Name: o.Pool + "." + string(world.DutyOrders), Holder: o.Holder})
+	name := o.Pool + "." + string(world.DutyOrders)
+	k := lease.NewKeeper(lease.Options{Store: o.Store, Name: name, Holder: o.Holder, Rank: o.Rank.of(name)})
 	return k.Run(ctx, o.lead)
 }
 
@@ -69,7 +76,8 @@
 	}
 	var actions sync.WaitGroup
 	defer o.revokeLeadership(&actions)
-	planners := o.NewPlanners()
+	planners, release := o.NewPlanners()
+	defer release()
 	ticker := time.NewTicker(planEvery)
 	defer ticker.Stop()
 	for a.Valid() {
@@ -106,8 +114,14 @@
 	if !ok || pool.Paused {
 		return
 	}
-	v := o.view(pool, d.State())
-	if v.PlannedLoss == "" && o.startLeftOver(a, d, v, actions) {
+	// The running action is read before the state, so that an action that ends in between is not taken for a left-over one.
+	losing := o.losingNow()
+	state := d.State()
+	v := o.view(pool, state, losing)
+	if losing == "" && o.startLeftOver(a, d, v, state, actions) {
+		return
+	}
+	if recordFirstSeen(a.Context(), d, v) {
 		return
 	}
 	for _, planner := range planners {
@@ -116,7 +130,7 @@
 			continue
 		}
 		if p.Kind == world.OrderAdd {
-			o.finish(p, d.Submit(a.Context(), providerOrder(p)))
+			o.finish(a, p, d.Submit(a.Context(), providerOrder(p)))
 			return
 		}
 		if v.PlannedLoss == "" {
@@ -127,8 +141,8 @@
 }
 
 // view joins reports with what the system itself has ordered.
-func (o *Orders) view(pool world.Pool, s world.PoolOrders) PoolView {
-	v := PoolView{Pool: pool, Endpoints: o.Fleet.Endpoints(o.Pool), PlannedLoss: o.losingNow(), Now: time.Now()}
+func (o *Orders) view(pool world.Pool, s world.PoolOrders, losing string) PoolView {
+	v := PoolView{Pool: pool, Endpoints: o.Fleet.Endpoints(o.Pool), PlannedLoss: losing, Now: time.Now()}
 	for i := range v.Endpoints {
 		e := &v.Endpoints[i]
 		e.Drained = s.Drained[e.Name]
@@ -143,21 +157,30 @@
 
 // start runs a proposal as the pool's action.
 func (o *Orders) start(a *lease.Authority, d *order.Dispatcher, p Proposal, actions *sync.WaitGroup) {
+	o.run(a, p, actions, func(ctx context.Context) error { return o.carryOut(ctx, d, p) })
+}
+
+// run starts the pool's only action.
+func (o *Orders) run(a *lease.Authority, p Proposal, actions *sync.WaitGroup, action func(context.Context) error) {
 	o.setLosing(p.Endpoint)
 	o.Log.Info().Str("pool", o.Pool).Str("endpoint", p.Endpoint).Str("order", string(p.Kind)).Str("value", p.Value).
 		Str("reason", p.Reason).Msg("action started")
 	actions.Go(func() {
 		defer o.setLosing("")
-		o.finish(p, o.carryOut(a.Context(), d, p))
+		o.finish(a, p, action(a.Context()))
 	})
 }
 
-func (o *Orders) finish(p Proposal, err error) {
+// finish logs the end of an action. A term whose orders object another process has rewritten can send nothing more and ends.
+func (o *Orders) finish(a *lease.Authority, p Proposal, err error) {
 	line := o.Log.Info()
 	if err != nil {
 		line = o.Log.Warn().Err(err)
 	}
 	line.Str("pool", o.Pool).Str("endpoint", p.Endpoint).Str("order", string(p.Kind)).Msg("action ended")
+	if errors.Is(err, order.ErrSuperseded) {
+		a.End()
+	}
 }
 
 func (o *Orders) losingNow() string {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -221,3 +221,35 @@
 		t.Errorf("the endpoint received %q", got)
 	}
 }
+
+// Guards against all leases on the process that starts first, and against a lease that nobody takes when the first in rank is lost.
+func TestRankDecidesWhoTriesFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memplatform.New()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var done sync.WaitGroup
+		leads := make(chan string, 10)
+		run := func(ctx context.Context, holder string, rank int) {
+			k := NewKeeper(Options{Store: store, Name: "x", Holder: holder, Rank: func() int { return rank }})
+			done.Go(func() {
+				_ = k.Run(ctx, func(a *Authority) {
+					leads <- holder
+					<-a.Context().Done()
+				})
+			})
+		}
+		run(ctx, "second", 1)
+		firstCtx, loseFirst := context.WithCancel(ctx)
+		run(firstCtx, "first", 0)
+		if got := <-leads; got != "first" {
+			t.Fatalf("%s leads, want the first in rank", got)
+		}
+		loseFirst()
+		if got := <-leads; got != "second" {
+			t.Fatalf("%s leads after the first was lost", got)
+		}
+		cancel()
+		done.Wait()
+	})
+}
