duty: check histories of racing holders of a pool's orders

Cause: G1, G2, G3 and G5 were tested one failure at a time. Generated schedules found an unresolved order to add an endpoint that nobody sent again until some later order came.

Faults: processes frozen at any call and between the check of the authority and the send, late bytes, lost answers of the platform, the provider and engines, outages, one-process cuts, kills and restarts, clocks that stand still for three quarters of the time, engine crashes in the middle of a change, silent engines, operator drains. Ruled out: engines that remember all order ids, because they hide late copies; the fake remembers the last id only.

--- a/internal/duty/bed_test.go
+++ b/internal/duty/bed_test.go
@@ -25,17 +25,19 @@
 	// viewEvery is the period with which gateways and controllers renew their view; they act on the view before.
 	viewEvery = 700 * time.Millisecond
 	// listEvery is the period with which the provider's list is read.
-	listEvery    = 2 * time.Second
+	listEvery = 2 * time.Second
+	// callTimeout is that of the platform's client.
+	callTimeout  = 1500 * time.Millisecond
 	changeTime   = 3 * time.Second
 	cleaningTime = 20 * time.Second
 	startTime    = 10 * time.Second
 )
 
-// fakeEngine is one endpoint. It applies each order id once.
+// fakeEngine is one endpoint. It recognises a repetition of its last order only, so that a late copy of an older one shows.
 type fakeEngine struct {
 	checks   bool
 	fence    uint64
-	applied  map[string]bool
+	last     string
 	role     string
 	changing string
 	draining bool
@@ -90,7 +92,7 @@
 		name := fmt.Sprintf("e%d", i+1)
 		endpoints = append(endpoints, world.Endpoint{Name: name, FailureDomain: "roja", Class: world.OnDemand,
 			State: world.EndpointReady, ChecksFence: c})
-		b.engines[name] = &fakeEngine{checks: c, applied: make(map[string]bool)}
+		b.engines[name] = &fakeEngine{checks: c}
 	}
 	b.mem.SetEndpoints("p", endpoints)
 	b.refresh()
@@ -237,21 +239,28 @@
 }
 
 // deliver gives an order to an engine.
-func (b *bed) deliver(ctx context.Context, name string, o world.Order) error {
+func (b *bed) deliver(ctx context.Context, p *proc, a *lease.Authority, name string, epoch int, o world.Order) error {
 	b.mu.Lock()
 	e, ok := b.engines[name]
 	if !ok || e.down {
 		b.mu.Unlock()
 		return errors.Wrap(order.ErrNotSent, "connection refused")
 	}
+	if e.epoch != epoch {
+		b.mu.Unlock()
+		return errors.New("connection reset")
+	}
 	if e.hang {
 		b.mu.Unlock()
-		<-ctx.Done()
-		return ctx.Err()
+		if ctx.Done() != nil {
+			<-ctx.Done()
+		}
+		return errors.New("no answer")
 	}
 	defer b.mu.Unlock()
+	b.checkSender(p, a, "G3", o)
 	refused := e.checks && o.Fence < e.fence
-	fresh := !e.applied[o.ID]
+	fresh := e.last != o.ID
 	b.history.AddOrder(history.Order{Target: name, ID: o.ID, Fence: o.Fence, Kind: string(o.Kind), Value: o.Value, At: time.Now(),
 		Applied: fresh && !refused})
 	if refused {
@@ -259,7 +268,7 @@
 	}
 	e.fence = max(e.fence, o.Fence)
 	if fresh {
-		e.applied[o.ID] = true
+		e.last = o.ID
 		b.apply(name, e, o)
 	}
 	if e.loseAnswers > 0 {
@@ -308,13 +317,10 @@
 	if b.providerDown {
 		return platform.ProviderView{}, platform.ErrUnavailable
 	}
-	for _, other := range b.procs {
-		if other != p && other.authority != nil && other.authority.Valid() && a.Valid() {
-			b.violate("G5: provider order %s from %s while %s has authority too", o.ID, p.name, other.name)
-		}
-	}
+	b.checkSender(p, a, "G5", o)
 	v, err := b.mem.Order(ctx, "p", o, expected)
-	fresh := err == nil && !b.seen[o.ID]
+	// The platform may lose the answer to an order that has taken effect; then its view is returned all the same.
+	fresh := v.Version == expected+1 && !b.seen[o.ID]
 	b.history.AddOrder(history.Order{Target: "provider", ID: o.ID, Fence: o.Fence, Kind: string(o.Kind), Value: o.Endpoint, At: time.Now(), Applied: fresh})
 	if fresh {
 		b.seen[o.ID] = true
@@ -327,6 +333,15 @@
 	return v, err
 }
 
+// checkSender records an order from a process that believes it holds authority while another does too.
+func (b *bed) checkSender(p *proc, a *lease.Authority, guarantee string, o world.Order) {
+	for _, other := range b.procs {
+		if other != p && other.authority != nil && other.authority.Valid() && a.Valid() {
+			b.violate("%s: order %s %s from %s while %s has authority too", guarantee, o.Kind, o.ID, p.name, other.name)
+		}
+	}
+}
+
 // carryOut is the provider's work on an order.
 func (b *bed) carryOut(o world.Order, v platform.ProviderView) {
 	e := b.engines[o.Endpoint]
@@ -338,7 +353,7 @@
 		added := v.Endpoints[len(v.Endpoints)-1].Name
 		time.AfterFunc(startTime, func() {
 			b.mu.Lock()
-			b.engines[added] = &fakeEngine{applied: make(map[string]bool)}
+			b.engines[added] = &fakeEngine{}
 			b.mu.Unlock()
 			b.mem.SetEndpointState("p", added, world.EndpointReady, "")
 		})
@@ -361,7 +376,9 @@
 	authority   *lease.Authority
 	frozenUntil time.Time
 	cut         bool
-	terms       int
+	// freezeAtSend freezes the process at its next order, between check and send; lateBy delays the order's bytes.
+	freezeAtSend, lateBy time.Duration
+	terms                int
 }
 
 // clocks describes a process's clocks: rate is how many seconds its wall clock runs in one second of its monotonic clock, which
@@ -384,7 +401,7 @@
 	b.mu.Unlock()
 	started, rate := time.Now(), time.Duration(max(1, c.rate))
 	k := lease.NewKeeper(lease.Options{Store: procStore{p}, Name: "p.orders", Holder: name, TTL: lease.DefaultTTL * rate, Margin: lease.DefaultMargin * rate,
-		RenewEvery: lease.DefaultRenewEvery, Wall: func() time.Time { return started.Add(time.Since(started) * rate) }})
+		Wall: func() time.Time { return started.Add(time.Since(started) * rate) }})
 	go func() {
 		defer close(p.ended)
 		_ = k.Run(ctx, p.orders.lead)
@@ -418,6 +435,21 @@
 	}
 }
 
+// beforeSend is the moment between the check of the authority and the system call. It returns the epoch of the engine that the
+// connection leads to, and the delay of the bytes.
+func (p *proc) beforeSend(engine string) (epoch int, late time.Duration) {
+	p.bed.mu.Lock()
+	defer p.bed.mu.Unlock()
+	if p.freezeAtSend > 0 {
+		p.frozenUntil, p.freezeAtSend = time.Now().Add(p.freezeAtSend), 0
+	}
+	late, p.lateBy = p.lateBy, 0
+	if e, ok := p.bed.engines[engine]; ok {
+		epoch = e.epoch
+	}
+	return epoch, late
+}
+
 // reach waits while the process is frozen and fails when it is cut off.
 func (p *proc) reach(ctx context.Context) error {
 	p.gate()
@@ -425,7 +457,10 @@
 	cut := p.cut
 	p.bed.mu.Unlock()
 	if cut {
-		<-ctx.Done()
+		select {
+		case <-ctx.Done():
+		case <-time.After(callTimeout):
+		}
 		return platform.ErrUnavailable
 	}
 	time.Sleep(5 * time.Millisecond)
@@ -498,6 +533,7 @@
 	if !s.a.Valid() {
 		return platform.ProviderView{}, lease.ErrNoAuthority
 	}
+	s.p.beforeSend("")
 	if err := s.p.reach(ctx); err != nil {
 		return platform.ProviderView{}, err
 	}
@@ -515,11 +551,20 @@
 	if !a.Valid() {
 		return errors.Wrap(order.ErrNotSent, "no authority")
 	}
+	epoch, late := s.p.beforeSend(e.Name)
 	if err := s.p.reach(ctx); err != nil {
 		return err
 	}
 	defer s.p.gate()
-	return s.p.bed.deliver(ctx, e.Name, o)
+	if late > 0 {
+		s.p.bed.wg.Go(func() {
+			time.Sleep(late)
+			_ = s.p.bed.deliver(context.WithoutCancel(ctx), s.p, a, e.Name, epoch, o)
+		})
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return s.p.bed.deliver(ctx, s.p, a, e.Name, epoch, o)
 }
 
 // check fails the test for each breach.
