--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -270,7 +270,8 @@
 	}
 	stream, err := client.FetchAnswer(ctx, &peerpb.FetchAnswerRequest{RequestId: requestID, Team: team, Offset: offset})
 	if err != nil {
-		return err
+		// A connection that is known to be broken fails here already.
+		return f.fetchError(ctx, client, incarnation, err)
 	}
 	for first := true; ; first = false {
 		chunk, err := stream.Recv()
--- a/internal/e2e/atmostonce_test.go
+++ b/internal/e2e/atmostonce_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -157,7 +159,8 @@
 	t.Parallel()
 	c := newCluster(t, options{})
 	d := &declarations{c: c}
-	frozen := c.vms[1]
+	// The VM whose controller reconciles claims has to learn that its own VM has left the list.
+	frozen := c.holderOf(string(world.DutyClaims))
 	d.awaitInstance(frozen)
 	frozen.platform.SetDelay(200 * time.Millisecond)
 	known := len(c.claims())
@@ -171,7 +174,7 @@
 	if _, ran := c.executions()[claimed.RequestID]; ran {
 		t.Fatal("the call was sent before the gateway was frozen")
 	}
-	if r := d.submit(0, "frozen", declaredBody("frozen")); r.whole {
+	if r := d.submit((frozen.index+1)%vmCount, "frozen", declaredBody("frozen")); r.whole {
 		t.Error("a repeat ran while the claim was open")
 	}
 	// The VM leaves the list, so that its claims are reconciled. The endpoint knows nothing of the call.
@@ -182,7 +185,7 @@
 		}
 	}
 	c.mem.SetVMs(rest)
-	c.await("a repeat to run", func() bool { return d.submit(2, "frozen", declaredBody("frozen")).whole })
+	c.await("a repeat to run", func() bool { return d.submit((frozen.index+2)%vmCount, "frozen", declaredBody("frozen")).whole })
 	time.Sleep(time.Until(claimedAt.Add(dispatchLimit + time.Second)))
 	c.listVMs()
 	if err := frozen.gateway.Thaw(); err != nil {
@@ -196,6 +199,26 @@
 	c.check()
 }
 
+// holderOf returns the VM whose controller holds a lease.
+func (c *cluster) holderOf(lease string) *vm {
+	c.t.Helper()
+	var holder *vm
+	c.await("a holder of the lease "+lease, func() bool {
+		o, err := c.mem.Get(context.Background(), world.KindLease, lease)
+		var l world.Lease
+		if err != nil || json.Unmarshal(o.Data, &l) != nil {
+			return false
+		}
+		for _, v := range c.vms {
+			if l.Holder == v.Name || strings.HasPrefix(l.Holder, v.Name+".") || strings.HasPrefix(l.Holder, v.Name+"@") || strings.HasPrefix(l.Holder, v.Name+"/") {
+				holder = v
+			}
+		}
+		return holder != nil
+	})
+	return holder
+}
+
 // Guards against a refusal that says "not run" for a request that reached an endpoint: requests of both kinds while each step
 // between admission and first byte fails.
 func TestNotRunIsTrue(t *testing.T) {
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,8 +27,10 @@
 	err      *apierror.Error
 	changed  chan struct{}
 	readers  int
-	abandon  *time.Timer
-	ended    time.Time
+	// delivered tells that a reader got the answer to its end.
+	delivered bool
+	abandon   *time.Timer
+	ended     time.Time
 }
 
 func newAnswer(id, team, keyHash string, cancel context.CancelCauseFunc) *answer {
@@ -107,7 +110,8 @@
 	a.broadcast()
 }
 
-// attach counts a reader; the returned function ends it. Without readers the request is cancelled after a time.
+// attach counts a reader; the returned function ends it. Without readers the request is cancelled after a time, or at once when
+// the answer has not begun: its caller does not know the id by which it could fetch the answer.
 func (a *answer) attach(abandonAfter time.Duration) func() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -121,6 +125,9 @@
 		defer a.mu.Unlock()
 		a.readers--
 		if a.readers == 0 && !a.finished && a.cancel != nil {
+			if a.status == 0 {
+				abandonAfter = 0
+			}
 			a.abandon = time.AfterFunc(abandonAfter, func() { a.cancel(errAbandoned) })
 		}
 	}
@@ -161,6 +168,7 @@
 			offset += int64(len(v.data))
 		}
 		if v.finished {
+			a.noteDelivered()
 			return nil
 		}
 		select {
@@ -171,6 +179,19 @@
 	}
 }
 
+func (a *answer) noteDelivered() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.delivered = true
+}
+
+// wanted tells whether a whole answer has not been read to its end by anyone.
+func (a *answer) wanted() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.whole && !a.delivered
+}
+
 // answerStore keeps running answers, and finished ones for a time and within a bound of memory.
 type answerStore struct {
 	ttl      time.Duration
@@ -226,6 +247,14 @@
 	}
 }
 
+// wanted tells whether a whole answer is kept that nobody has read to its end.
+func (s *answerStore) wanted() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evict()
+	return slices.ContainsFunc(s.finished, (*answer).wanted)
+}
+
 // running returns the answers in progress that can be cancelled.
 func (s *answerStore) running() []*answer {
 	s.mu.Lock()
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -26,7 +26,8 @@
 }
 
 // Drain stops the gateway without cutting a request. It leaves discovery, serves on for the lifetime of addresses that callers
-// hold, refuses new work, waits for requests in progress and for outcomes that are being stored, and hands over. It returns
+// hold, refuses new work, waits for requests in progress, for outcomes that
+// are being stored and for whole answers whose callers were cut, and hands over. It returns
 // an error when ctx ends before that; requests may be cut then.
 func (g *Gateway) Drain(ctx context.Context) error {
 	g.mu.Lock()
@@ -51,5 +52,24 @@
 	case <-ctx.Done():
 		return errors.Wrap(ctx.Err(), "requests are still in progress; allow more time for the drain")
 	}
+	if err := g.awaitFetches(ctx); err != nil {
+		return err
+	}
 	return g.opts.HandOver(ctx)
 }
+
+// fetchPoll is the time between two looks at the answers that are kept.
+const fetchPoll = 50 * time.Millisecond
+
+// awaitFetches waits until each whole answer has been read to its end or its time is over. Answers live in this process only, so
+// its end would lose those that a cut caller may still fetch.
+func (g *Gateway) awaitFetches(ctx context.Context) error {
+	for g.answers.wanted() {
+		select {
+		case <-time.After(fetchPoll):
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "callers may still fetch answers; allow more time for the drain")
+		}
+	}
+	return nil
+}
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -136,9 +137,10 @@
 
 // setFields replaces the fields that the gateway owns.
 func (m *modelCall) setFields(model, salt, adapter string, streamOptions map[string]any) {
-	for _, name := range gatewayFields {
-		delete(m.fields, name)
-	}
+	// Some servers match field names without regard to case, so a variant would take the place of the gateway's own field.
+	maps.DeleteFunc(m.fields, func(name string, _ json.RawMessage) bool {
+		return slices.ContainsFunc(gatewayFields, func(own string) bool { return strings.EqualFold(name, own) })
+	})
 	m.set("model", model)
 	m.set("priority", int(m.priority))
 	m.set("cache_salt", salt)
--- a/internal/gateway/scrub.go
+++ b/internal/gateway/scrub.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/hex"
 	"encoding/json"
 	"net/http"
 	"net/url"
@@ -80,12 +81,72 @@
 	return out
 }
 
-func holdsKey(value string) bool {
-	if keyPattern.MatchString(value) {
-		return true
+func holdsKey(value string) bool { return scrubText(value) != value }
+
+// maxEscapes is how many layers of escapes are undone in search of a key.
+const maxEscapes = 3
+
+// scrubText removes keys from text, also where escapes hide them. Text without a key passes unchanged, and text whose
+// key was escaped loses its escapes.
+func scrubText(text string) string {
+	plain := text
+	for range maxEscapes {
+		if keyPattern.MatchString(plain) {
+			return keyPattern.ReplaceAllString(plain, removed)
+		}
+		next := unescape(plain)
+		if next == plain {
+			break
+		}
+		plain = next
 	}
-	unescaped, err := url.QueryUnescape(value)
-	return err == nil && keyPattern.MatchString(unescaped)
+	if keyPattern.MatchString(plain) {
+		return keyPattern.ReplaceAllString(plain, removed)
+	}
+	return text
+}
+
+// unescape undoes percent escapes and JSON's escapes of ASCII, and leaves what is no valid escape, as lenient servers do. A strict
+// decoder would give up at the first invalid escape and miss a key after it.
+func unescape(text string) string {
+	if !strings.ContainsAny(text, `%\`) {
+		return text
+	}
+	out := make([]byte, 0, len(text))
+	for i := 0; i < len(text); i++ {
+		if n, b := escapeAt(text[i:]); n > 0 {
+			out = append(out, b)
+			i += n - 1
+			continue
+		}
+		out = append(out, text[i])
+	}
+	return string(out)
+}
+
+// escapeAt returns the length of the escape that the text begins with, and the byte that it stands for; 0 when there is none.
+func escapeAt(text string) (int, byte) {
+	for _, prefix := range []string{"%", `\u00`} {
+		digits, ok := strings.CutPrefix(text, prefix)
+		if !ok || len(digits) < 2 {
+			continue
+		}
+		if b, err := hex.DecodeString(digits[:2]); err == nil {
+			return len(prefix) + 2, b[0]
+		}
+	}
+	return 0, 0
+}
+
+// scrubPath removes keys from an escaped path. Segments without a key keep their escapes.
+func scrubPath(escaped string) string {
+	segments := strings.Split(escaped, "/")
+	for i, segment := range segments {
+		if holdsKey(segment) {
+			segments[i] = url.PathEscape(scrubText(segment))
+		}
+	}
+	return strings.Join(segments, "/")
 }
 
 // scrubQuery removes parameters that carry a key. A query without one passes unchanged.
@@ -106,15 +167,14 @@
 // scrubBody removes keys from a body. JSON and form bodies are parsed, since escapes may hide a key there; a body without a
 // key passes unchanged.
 func scrubBody(contentType string, body []byte) []byte {
-	switch {
-	case strings.Contains(contentType, "x-www-form-urlencoded"):
+	// The body decides before its declared type, because a service may ignore the type.
+	if cleaned, ok := scrubJSON(body); ok {
+		return cleaned
+	}
+	if strings.Contains(contentType, "x-www-form-urlencoded") {
 		return []byte(scrubQuery(string(body)))
-	case strings.Contains(contentType, "json") || json.Valid(body):
-		if cleaned, ok := scrubJSON(body); ok {
-			return cleaned
-		}
 	}
-	return keyPattern.ReplaceAll(body, []byte(removed))
+	return []byte(scrubText(string(body)))
 }
 
 // scrubJSON returns false when the body is not one JSON value.
@@ -145,9 +205,9 @@
 func scrubValue(v any, found *bool) any {
 	switch v := v.(type) {
 	case string:
-		if keyPattern.MatchString(v) {
+		if cleaned := scrubText(v); cleaned != v {
 			*found = true
-			return keyPattern.ReplaceAllString(v, removed)
+			return cleaned
 		}
 	case []any:
 		for i := range v {
@@ -155,7 +215,7 @@
 		}
 	case map[string]any:
 		for name, value := range v {
-			if keyPattern.MatchString(name) {
+			if holdsKey(name) {
 				*found = true
 				delete(v, name)
 				continue
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -150,7 +150,7 @@
 	s.header.Del(requestIDHeader)
 	s.header.Del(deadlineHeader)
 	s.body = scrubBody(r.Header.Get("Content-Type"), s.body)
-	s.uri = keyPattern.ReplaceAllString(rest, removed)
+	s.uri = scrubPath(rest)
 	if query := scrubQuery(r.URL.RawQuery); query != "" {
 		s.uri += "?" + query
 	}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -65,7 +65,7 @@
 	// CutAfter breaks the connection, HalfAfter ends the stream without its end marker, StallAfter sends nothing more,
 	// GarbageAfter sends bytes that are no chunk.
 	CutAfter, HalfAfter, StallAfter, GarbageAfter int
-	// WrongID answers with another request's id, WrongText with the output of another prompt.
+	// WrongID answers with the id and the output of another request.
 	WrongID bool
 	// RefuseResume answers 404 to resumes.
 	RefuseResume bool
--- a/internal/standin/engine_data.go
+++ b/internal/standin/engine_data.go
@@ -110,7 +110,7 @@
 		abort() // a cancelled generation has no whole answer
 	}
 	id := e.answerID(g, f)
-	text := Output(g.prompt, n)
+	text := Output(answerPrompt(g, f), n)
 	choice := map[string]any{"index": 0, "finish_reason": "stop"}
 	object := "text_completion"
 	if g.chat {
@@ -164,7 +164,7 @@
 			if e.streamFault(w, r, f, sent) {
 				return
 			}
-			e.chunk(w, g, id, Token(g.prompt, i), "")
+			e.chunk(w, g, id, Token(answerPrompt(g, f), i), "")
 			sent++
 		}
 		if e.streamFault(w, r, f, sent) {
@@ -239,6 +239,14 @@
 	return g.id
 }
 
+// answerPrompt returns the prompt whose output is sent.
+func answerPrompt(g *generation, f EngineFaults) string {
+	if f.WrongID {
+		return "the prompt of another request"
+	}
+	return g.prompt
+}
+
 func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.Atoi(r.URL.Query().Get("after"))
 	if err != nil || after < 0 {
