--- a/internal/e2e/check_test.go
+++ b/internal/e2e/check_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"net/http"
+	"net/url"
 	"os"
 	"strings"
 
 	"crocusglade.example/crocusglade/internal/history"
+	"crocusglade.example/crocusglade/internal/platform/memplatform"
 	"crocusglade.example/crocusglade/internal/standin"
 )
 
@@ -110,3 +112,18 @@
 	}
 	c.t.Log(c.history.Summary())
 }
+
+// memFaults are the faults of the stand-in platform.
+type memFaults = memplatform.Faults
+
+// unescapeAll undoes percent escapes twice, as a server behind a server does.
+func unescapeAll(s string) (string, error) {
+	once, err := url.QueryUnescape(s)
+	if err != nil {
+		return "", err
+	}
+	if twice, err := url.QueryUnescape(once); err == nil {
+		return once + "\n" + twice, nil
+	}
+	return once, nil
+}
