--- a/internal/ctl/yaml.go
+++ b/internal/ctl/yaml.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"os"
@@ -205,6 +206,11 @@
 	if len(r.mistakes) > before {
 		return
 	}
+	// YAML has values that JSON, the form of the administration API, has not, such as .inf.
+	if _, err := json.Marshal(d.Object); err != nil {
+		r.wrong(file, node.Line, "%v; use finite numbers", err)
+		return
+	}
 	for _, err := range d.Object.Validate() {
 		r.wrong(file, lineOf(node, err), "%s", shownError(d.Kind, err))
 	}
