membership: one rule for the candidates of a lease

Change: the rank stays, the other rule goes. Failure domains take turns in the rank, so that the first three VMs are not lost together. Ruled out: the rank by hash alone, whose first three are in one of three domains in one of nine leases.

--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -183,32 +183,21 @@
 	return v.byName[names[0]], true
 }
 
-// Candidate tells whether this VM's controller competes for a lease. A few VMs in each failure domain do, because every candidate reads
-// the lease once a second: 330 of them would read eight leases 2,640 times a second, more than the platform takes.
-func (m *Members) Candidate(lease string) bool {
-	return slices.Contains(m.candidates(lease), m.self.Name)
-}
-
-// Rank returns this VM's place among the candidates for a lease, 0 first. It spreads leases over VMs.
-func (m *Members) Rank(lease string) int {
-	return max(0, slices.Index(m.candidates(lease), m.self.Name))
-}
-
-func (m *Members) candidates(lease string) []string {
-	byDomain := make(map[string][]string)
-	for _, vm := range m.view.Load().live {
-		byDomain[vm.FailureDomain] = append(byDomain[vm.FailureDomain], vm.Name)
-	}
-	var names []string
-	for _, own := range byDomain {
-		names = append(names, Rendezvous("lease/"+lease, own, candidatesPerDomain)...)
+// Rank returns this VM's place among the live VMs by rendezvous hashing for a key; 0 is the first. Failure domains take turns, so that the
+// first few VMs are not lost together.
+func (m *Members) Rank(key string) int {
+	v := m.view.Load()
+	names := Rendezvous("rank/"+key, v.names(nil), len(v.live))
+	seen, turn := make(map[string]int), make(map[string]int, len(names))
+	for _, name := range names {
+		domain := v.byName[name].FailureDomain
+		turn[name] = seen[domain]
+		seen[domain]++
 	}
-	return Rendezvous("lease/"+lease, names, len(names))
+	slices.SortStableFunc(names, func(a, b string) int { return turn[a] - turn[b] })
+	return max(0, slices.Index(names, m.self.Name))
 }
 
-// candidatesPerDomain is the number of candidates for a lease in each failure domain. A second one stays when the first is restarted.
-const candidatesPerDomain = 2
-
 // Pollers returns the VMs whose controllers poll the provider for a pool. There are two, so that one may fail.
 func (m *Members) Pollers(pool string) []world.VM {
 	v := m.view.Load()
