--- a/Makefile
+++ b/Makefile
@@ -55,4 +55,4 @@
 # bench runs the benchmarks of docs/performance.md: a gateway against a direct call, then the decisions on the request path.
 bench:
 	$(GO) run ./internal/capacity -groups latency
-	$(GO) test -run '^$$' -bench . -benchmem -timeout 10m ./internal/balancer ./internal/admission ./internal/config ./internal/auth
+	$(GO) test -run '^$$' -bench . -benchmem -timeout 10m ./internal/balancer ./internal/admission ./internal/config ./internal/auth ./internal/endpoint
--- a/internal/capacity/latency.go
+++ b/internal/capacity/latency.go
@@ -13,6 +13,8 @@
 	"github.com/go-faster/errors"
 
 	"crocusglade.example/crocusglade/internal/fault"
+	"crocusglade.example/crocusglade/internal/peer"
+	"crocusglade.example/crocusglade/internal/peer/peerpb"
 )
 
 const (
@@ -194,6 +196,10 @@
 			wg.Go(func() { _, _ = stream(calls, client, c.throughGateway, i) })
 		}
 		time.Sleep(8 * time.Second)
+		running, err := c.inFlight(ctx, 0)
+		if err != nil {
+			return err
+		}
 		after, err := read(ctx, c.gateways[0], c.address(0, portGatewayMetrics))
 		stop()
 		wg.Wait()
@@ -203,13 +209,25 @@
 		each := func(metric string) float64 {
 			return (after.metrics[metric] - before.metrics[metric]) / idleStreams / 1000
 		}
-		fmt.Printf("\n## memory of %.0f idle streams at one gateway (machine load %s)\nresident %.1f kB, heap %.1f kB, stacks %.1f kB each\n",
-			after.metrics[`crocusglade_in_flight`], machineLoad(), (after.resident-before.resident)/idleStreams/1000,
+		fmt.Printf("\n## memory of %d idle streams at one gateway (machine load %s)\nresident %.1f kB, heap %.1f kB, stacks %.1f kB each\n",
+			running, machineLoad(), (after.resident-before.resident)/idleStreams/1000,
 			each("go_memstats_heap_inuse_bytes"), each("go_memstats_stack_inuse_bytes"))
 		return nil
 	})
 }
 
+// inFlight asks a gateway for its number of requests in progress.
+func (c *cluster) inFlight(ctx context.Context, i int) (int, error) {
+	clients := peer.NewClients(nil)
+	defer clients.Close()
+	client, err := clients.Gateway(c.vms[i])
+	if err != nil {
+		return 0, err
+	}
+	s, err := client.GetStatus(ctx, &peerpb.StatusRequest{})
+	return int(s.GetInFlight()), err
+}
+
 // measureStartup kills and starts a gateway and a controller in turn.
 func measureStartup(ctx context.Context, daemon string) error {
 	return withCluster(ctx, daemon, fastDecode, func(c *cluster) error {
--- a/internal/peer/contact.go
+++ b/internal/peer/contact.go
@@ -27,8 +27,15 @@
 	return m.members.Majority(func(vm string) bool { return m.heardWithin(vm, contactLimit) })
 }
 
-// catchUp fetches the snapshot of a neighbour whose larger revision no relay has delivered.
+// relayAge is the age in milliseconds of the configuration above which a gateway's relay is taken to deliver nothing.
+const relayAge = 4000
+
+// catchUp fetches the snapshot of a neighbour whose larger revision no relay has delivered. While a relay confirms the configuration, a
+// change is only on its way; on an overloaded machine whole snapshots of above 1 MB would come on top of it.
 func (m *Mesh) catchUp(ctx context.Context) {
+	if m.freshness.AgeMS() <= relayAge {
+		return
+	}
 	vm, ok := m.ahead()
 	if !ok {
 		return
