--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -102,6 +102,10 @@
 	checksFence bool
 	// gatewayFlags are added to each gateway's flags.
 	gatewayFlags []string
+	// wrapEngine puts a handler in front of an engine.
+	wrapEngine func(name string, engine http.Handler) http.Handler
+	// beforeStart changes the platform's state before any process runs.
+	beforeStart func(*cluster)
 }
 
 // newCluster starts stand-ins, four controllers and four gateways, applies a configuration with the teams "skippers" and
@@ -115,6 +119,9 @@
 	c.startEndpoints(o)
 	c.layOut()
 	c.startPlatform()
+	if o.beforeStart != nil {
+		o.beforeStart(c)
+	}
 	for _, v := range c.vms {
 		c.startController(v)
 		c.startGateway(v, o.gatewayFlags...)
@@ -134,7 +141,11 @@
 		cfg.Name, cfg.Model, cfg.Version, cfg.ChecksFence = fmt.Sprintf("logreader-%d", i+1), "logreader", "1", o.checksFence
 		e := standin.NewEngine(cfg)
 		c.engines[cfg.Name] = e
-		llm.Endpoints = append(llm.Endpoints, c.endpoint(cfg.Name, i, e, o.checksFence))
+		handler := http.Handler(e)
+		if o.wrapEngine != nil {
+			handler = o.wrapEngine(cfg.Name, e)
+		}
+		llm.Endpoints = append(llm.Endpoints, c.endpoint(cfg.Name, i, handler, o.checksFence))
 	}
 	svc := world.Pool{Name: "quayside", Kind: world.PoolService}
 	for i := range max(1, o.services) {
--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -118,6 +118,19 @@
 // AddRequest records a request. It may be called concurrently, as may all Add methods.
 func (h *History) AddRequest(r Request) { add(h, &h.Requests, r) }
 
+// Answered returns the number of whole answers that a gateway gave so far.
+func (h *History) Answered(gateway string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for _, r := range h.Requests {
+		if r.Gateway == gateway && r.Result == Whole {
+			n++
+		}
+	}
+	return n
+}
+
 // AddExecution records an execution.
 func (h *History) AddExecution(e Execution) { add(h, &h.Executions, e) }
 
