Move streams away from endpoints that leave

Cause: a template could say 'retire: move', and reclaimed endpoints were said to lose their streams to others, but nothing moved them. Change: the gateway chooses the next endpoint first, then cancels the stream at the old one and goes on with the text so far. Reclaimed endpoints always lose their streams so; emptied ones when the team's template says it. A move is no retry and costs no budget. Ruled out: cancelling first, which loses the stream when no endpoint has room.

--- a/internal/balancer/state.go
+++ b/internal/balancer/state.go
@@ -91,6 +91,17 @@
 	return s
 }
 
+// Endpoint returns what is known of an endpoint, or false when it is not known.
+func (b *Balancer) Endpoint(name string) (Endpoint, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.endpoints[name]
+	if s == nil {
+		return Endpoint{}, false
+	}
+	return s.Endpoint, true
+}
+
 // Remove forgets an endpoint.
 func (b *Balancer) Remove(pool, name string) {
 	b.mu.Lock()
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -77,6 +77,7 @@
 		Part{Name: "load", Run: loads.Run},
 		Part{Name: "usage", Run: g.ledger.Run},
 		Part{Name: "capacity", Run: g.keepCapacity},
+		Part{Name: "moves", Run: g.gateway.RunMoves},
 		Part{Name: "health check", Run: g.watchReadiness},
 		g.peerServer(func(r *grpc.Server) { peerpb.RegisterGatewayServer(r, g.peerService()) }),
 	)
--- a/internal/gateway/bed_test.go
+++ b/internal/gateway/bed_test.go
@@ -42,6 +42,7 @@
 	usage    []world.Usage
 	deaths   []string
 	lost     bool
+	retire   world.RetireMode
 }
 
 // Record implements usage.Recorder.
@@ -120,7 +121,7 @@
 		objects = append(objects, world.Object{Kind: kind, Name: name, Version: revision, Data: data})
 	}
 	add(world.KindTemplate, "full", world.Template{Name: "full", Models: []world.ModelGrant{{Model: "m", Versions: []string{"1"}}},
-		Routes: []string{"harvest"}, OpenRoutes: []string{"public"}, Priority: world.PriorityNormal,
+		Routes: []string{"harvest"}, OpenRoutes: []string{"public"}, Priority: world.PriorityNormal, Retire: b.retire,
 		RoutePriority: map[string]world.Priority{endpoint.ChatPath: world.PriorityUrgent}})
 	add(world.KindTeam, "rope", world.Team{Name: "rope", Template: "full", Limits: world.Limits{MaxBodyBytes: 4096}})
 	add(world.KindTeam, "clerk", world.Team{Name: "clerk", Template: "full"})
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -96,7 +96,7 @@
 	template := &world.Template{Name: "t", Models: []world.ModelGrant{{Model: "m"}}}
 	f.Fuzz(func(t *testing.T, body []byte) {
 		for _, path := range []string{endpoint.ChatPath, endpoint.CompletionPath} {
-			m := &modelCall{path: path, call: &call{snapshot: holder.Current(), team: "rope", template: template, body: body, priority: 3}}
+			m := &modelCall{path: path, call: &call{snapshot: holder.Current(), team: "rope", template: template, body: body, priority: world.PriorityNormal}}
 			if m.parse("salt") != nil {
 				continue
 			}
@@ -106,7 +106,7 @@
 				Priority  int    `json:"priority"`
 				CacheSalt string `json:"cache_salt"`
 			}
-			if err := json.Unmarshal(sent, &got); err != nil || got.Model != "m" || got.Priority != 3 || got.CacheSalt != "salt" {
+			if err := json.Unmarshal(sent, &got); err != nil || got.Model != "m" || got.Priority != int(world.PriorityNormal) || got.CacheSalt != "salt" {
 				t.Errorf("the body %q became %q: %v", body, sent, err)
 			}
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -129,6 +129,7 @@
 	opts    Options
 	echo    *echo.Echo
 	answers *answerStore
+	streams *streamTable
 
 	mu       sync.Mutex
 	leaving  bool
@@ -173,7 +174,7 @@
 	o.MaxAttempts = cmp.Or(o.MaxAttempts, DefaultMaxAttempts)
 	idle := make(chan struct{})
 	close(idle)
-	g := &Gateway{opts: o, answers: newAnswerStore(o.AnswerTTL, o.MaxAnswerBytes), idle: idle, attempts: make(map[string]bool)}
+	g := &Gateway{opts: o, answers: newAnswerStore(o.AnswerTTL, o.MaxAnswerBytes), streams: newStreamTable(), idle: idle, attempts: make(map[string]bool)}
 	o.Config.OnChange(g.cancelWithdrawn)
 	g.routes()
 	return g
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -37,28 +37,41 @@
 	usage *endpoint.Usage
 	// sent is true once a byte may have left for an endpoint.
 	sent bool
+	// running is the attempt in progress; nil for a stream that is only resumed for a fetch. moves counts the moves so far.
+	running *runningStream
+	moves   int
 }
 
 // runStream runs a streamed request: resume on the same engine, then continuation on another, then a typed error.
 func (g *Gateway) runStream(ctx context.Context, m *modelCall, a *answer) {
 	s := &streamRun{g: g, m: m, a: a, plain: true}
 	var last error
+	var next *balancer.Choice // where a moved stream goes on; a move is no retry
 	for try := 0; try < g.opts.MaxAttempts; try++ {
-		if try > 0 && !g.mayRetry(m.call, last) {
-			break
-		}
-		choice, err := g.choose(m.call, &m.place)
-		if err != nil {
-			if last == nil {
-				last = err
+		choice := next
+		if choice == nil {
+			if try > 0 && !g.mayRetry(m.call, last) {
+				break
+			}
+			var err error
+			if choice, err = g.choose(m.call, &m.place); err != nil {
+				if last == nil {
+					last = err
+				}
+				break
 			}
-			break
 		}
-		if last = s.attempt(ctx, choice); last == nil {
+		if next, last = s.attempt(ctx, choice); last == nil {
 			s.complete(ctx)
 			return
 		}
+		if next != nil {
+			try--
+		}
 		if ctx.Err() != nil || !s.continuable(last) {
+			if next != nil {
+				next.Done(balancer.Outcome{})
+			}
 			break
 		}
 		m.place.Exclude = append(m.place.Exclude, choice.Endpoint.Name)
@@ -91,9 +104,10 @@
 	return g.opts.Budget.Allow(c.pool.Name)
 }
 
-// attempt runs the rest of the answer on one engine, resuming there while that brings new tokens. It returns nil after the
-// engine's end marker.
-func (s *streamRun) attempt(ctx context.Context, choice *balancer.Choice) error {
+// attempt runs the rest of the answer on one engine, resuming there while that brings new tokens. It returns no error after the
+// engine's end marker. When the stream moves it returns the endpoint to go on at and an error.
+func (s *streamRun) attempt(ctx context.Context, choice *balancer.Choice) (next *balancer.Choice, err error) {
+	ctx, s.running = s.track(ctx, choice)
 	addr := choice.Endpoint.Addr
 	started, before := time.Now(), s.tokens
 	request := s.m.request(s.tokens, s.text.String())
@@ -126,7 +140,7 @@
 		s.g.afterFailure(ctx, s.m.call, choice, err)
 	}
 	choice.Done(balancer.Outcome{Failed: ctx.Err() == nil && endpointFailed(err), FirstToken: first, OutputTokens: s.tokens - before})
-	return err
+	return s.untrack(ctx, s.running, err), err
 }
 
 // copy passes chunks on until the engine's end marker.
@@ -166,6 +180,9 @@
 		s.usage = chunk.Usage
 	}
 	s.finished = s.finished || chunk.Finish != ""
+	if s.running != nil {
+		s.running.movable.Store(s.plain && !s.finished && s.moves < maxMoves)
+	}
 	if !s.begun {
 		s.begun = true
 		s.a.begin(http.StatusOK, http.Header{"Content-Type": {eventStreamType}, "Cache-Control": {"no-store"}})
