Admit no keyed work while a neighbour has a newer configuration

Cause: TestWithdrawnKeyStops failed once on a loaded machine: after a partition healed, the gateway heard the majority again and accepted a withdrawn key before it had their configuration. Change: heartbeats carry the digest of the configuration; a majority counts as contact only when no neighbour heard has a newer revision with another digest. Ruled out: comparing revisions alone, which differ without a change of configuration.

--- a/internal/peer/contact.go
+++ b/internal/peer/contact.go
@@ -19,12 +19,27 @@
 )
 
 // InContact tells whether keyed work may be admitted: the platform has confirmed the configuration, or a majority of the known VMs
-// was heard, within the last 5 s. Without both, an outage can't be told from a partition.
+// was heard, within the last 5 s. Without both, an outage can't be told from a partition. A gateway that returns from a partition
+// hears the majority before it has their configuration, in which keys may be withdrawn; so nobody may be ahead of it.
 func (m *Mesh) InContact() bool {
 	if m.freshness.AgeMS() <= contactLimit.Milliseconds() {
 		return true
 	}
-	return m.members.Majority(func(vm string) bool { return m.heardWithin(vm, contactLimit) })
+	return !m.behind() && m.members.Majority(func(vm string) bool { return m.heardWithin(vm, contactLimit) })
+}
+
+// behind tells whether a neighbour that was heard has a newer configuration. Revisions also grow without a change of configuration,
+// which the digest shows.
+func (m *Mesh) behind() bool {
+	own := m.holder.Current()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, n := range m.neighbours {
+		if n.revision > own.Revision() && n.digest != own.Digest() && time.Since(n.heard) <= contactLimit {
+			return true
+		}
+	}
+	return false
 }
 
 // relayAge is the age in milliseconds of the configuration above which a gateway's relay is taken to deliver nothing.
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -72,6 +72,7 @@
 type neighbour struct {
 	heard       time.Time
 	revision    uint64
+	digest      uint64
 	aheadSince  time.Time
 	draining    bool
 	gone        bool
@@ -243,7 +244,8 @@
 		u = &peerpb.PeerUpdate{}
 	}
 	u.Vm, u.Incarnation = m.self, m.incarnation
-	u.Revision, u.PlatformAgeMs = m.holder.Current().Revision(), m.freshness.AgeMS()
+	now := m.holder.Current()
+	u.Revision, u.ConfigDigest, u.PlatformAgeMs = now.Revision(), now.Digest(), m.freshness.AgeMS()
 	u.Draining = m.local.Draining()
 	return u
 }
@@ -257,7 +259,7 @@
 	m.mu.Lock()
 	n := m.neighbour(u.Vm)
 	n.heard, n.revision, n.draining, n.gone = time.Now(), u.Revision, u.Draining, false
-	n.incarnation = u.Incarnation
+	n.incarnation, n.digest = u.Incarnation, u.ConfigDigest
 	if u.Revision <= own {
 		n.aheadSince = time.Time{}
 	} else if n.aheadSince.IsZero() {
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -217,6 +217,28 @@
 	})
 }
 
+// Guards against a gateway that hears the majority again after a partition and admits keyed work before it has their
+// configuration, in which the key may be withdrawn.
+func TestNoContactWhileBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startCluster(t, 4)
+		time.Sleep(2 * time.Second)
+		late := c.gateways[3]
+		for _, g := range c.gateways[:3] {
+			g.holder.Apply([]world.Event{team("a", 9)})
+		}
+		level := func() bool { return late.holder.Current().Team("a") != nil }
+		time.Sleep(1500 * time.Millisecond)
+		if level() || late.mesh.InContact() {
+			t.Fatalf("level %v, in contact %v, one heartbeat after a change elsewhere", level(), late.mesh.InContact())
+		}
+		time.Sleep(5 * time.Second)
+		if !level() || !late.mesh.InContact() {
+			t.Fatalf("level %v, in contact %v, after the snapshot of a neighbour", level(), late.mesh.InContact())
+		}
+	})
+}
+
 // Guards against a neighbour that confirms a configuration other than this gateway's.
 func TestAgeCountsOnlyAtEqualRevision(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
