Measure callers on 16 VMs

Cause: the bounded exchange of a fleet with more gateways than neighbours had not been measured with callers.

--- a/internal/capacity/phases.go
+++ b/internal/capacity/phases.go
@@ -132,9 +132,28 @@
 	return strings.Join(out, " ")
 }
 
+// callerRuns are the fleets that get callers. 16 VMs are more than a gateway has neighbours, and 240 requests a second give each gateway as
+// many as 4,900 give each of 330.
+var callerRuns = []struct {
+	vms     int
+	traffic []traffic
+}{
+	{4, []traffic{{0, 0}, {100, 16}, {400, 16}, {400, 64}}},
+	{16, []traffic{{0, 0}, {240, 16}}},
+}
+
 // runCallers measures callers' traffic.
 func runCallers(ctx context.Context, daemon string, o options) error {
-	c, err := start(ctx, daemon, size{vms: 4, endpoints: 40, teams: 400})
+	for _, run := range callerRuns {
+		if err := callCluster(ctx, daemon, o, run.vms, run.traffic); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func callCluster(ctx context.Context, daemon string, o options, vms int, all []traffic) error {
+	c, err := start(ctx, daemon, size{vms: vms, endpoints: 40, teams: 400})
 	if c != nil {
 		defer c.stop()
 	}
@@ -142,7 +161,7 @@
 		return err
 	}
 	time.Sleep(o.settle)
-	for _, t := range []traffic{{0, 0}, {100, 16}, {400, 16}, {400, 64}} {
+	for _, t := range all {
 		calls, stop := context.WithCancel(ctx)
 		var done, failed atomic.Int64
 		label := fmt.Sprintf(", %d requests/s of %d tokens", t.rate, t.tokens)
