--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -285,13 +285,23 @@
 func tail(data []byte, n int) []byte { return data[max(0, len(data)-n):] }
 
 func (c *cluster) awaitReady(v *vm) {
+	c.t.Helper()
 	for _, addr := range []string{v.controllerMetrics, v.gatewayMetrics} {
-		c.await(v.Name+" to be ready", func() bool {
+		last := ""
+		defer func() {
+			if c.t.Failed() {
+				c.t.Logf("%s answered last: %s", addr, last)
+			}
+		}()
+		c.await(v.Name+" to be ready at "+addr, func() bool {
 			r, err := c.client.Get("http://" + addr + "/readyz")
 			if err != nil {
+				last = err.Error()
 				return false
 			}
 			defer r.Body.Close()
+			body, _ := io.ReadAll(r.Body)
+			last = string(body)
 			return r.StatusCode == http.StatusOK
 		})
 	}
