--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -102,6 +102,8 @@
 	checksFence bool
 	// gatewayFlags are added to each gateway's flags.
 	gatewayFlags []string
+	// platform, when set, wraps the platform as the given VM sees it.
+	platform func(c *cluster, v *vm, next http.Handler) http.Handler
 }
 
 // newCluster starts stand-ins, four controllers and four gateways, applies a configuration with the teams "skippers" and
@@ -114,7 +116,7 @@
 	t.Cleanup(c.client.CloseIdleConnections)
 	c.startEndpoints(o)
 	c.layOut()
-	c.startPlatform()
+	c.startPlatform(o)
 	for _, v := range c.vms {
 		c.startController(v)
 		c.startGateway(v, o.gatewayFlags...)
@@ -198,13 +200,17 @@
 }
 
 // startPlatform serves the platform to each VM through a link of its own. Each VM gets the list of VMs with its own links.
-func (c *cluster) startPlatform() {
+func (c *cluster) startPlatform(o options) {
 	handler := standin.NewPlatform(c.mem)
 	for _, v := range c.vms {
 		mux := http.NewServeMux()
 		mux.Handle("/", handler)
 		mux.HandleFunc("GET /vms", func(w http.ResponseWriter, r *http.Request) { c.serveVMs(v, w, r) })
-		server := httptest.NewServer(mux)
+		var served http.Handler = mux
+		if o.platform != nil {
+			served = o.platform(c, v, mux)
+		}
+		server := httptest.NewServer(served)
 		c.t.Cleanup(func() {
 			server.CloseClientConnections()
 			server.Close()
--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -7,6 +7,8 @@
 import (
 	"sync"
 	"time"
+
+	"crocusglade.example/crocusglade/internal/world"
 )
 
 // Result is how a caller's request ended.
@@ -72,7 +74,9 @@
 	Fence  uint64
 	// Figures is a canonical form of the reported figures.
 	Figures string
-	At      time.Time
+	// Teams holds the figures themselves, for CheckBilling.
+	Teams map[string]world.Usage
+	At    time.Time
 }
 
 // ConfigWrite is one accepted change of configuration.
