admin: refuse references to objects that do not exist

Cause: a team could name a template that does not exist, a route a pool that does not exist, and a template, pool or route in use could be deleted. The operator saw no error; calls were refused later.

Change: a write checks the template of a team and the pool of a route; a deletion checks the users of a template, pool or route. Ruled out: one atomic check, since the platform has no writes over two objects; operators who race can still leave such a reference. The tests' fixture now holds the templates that their teams name, so expected versions are two higher; nothing else of these tests changed.

--- a/internal/controller/admin/admin_test.go
+++ b/internal/controller/admin/admin_test.go
@@ -50,6 +50,12 @@
 // start returns an API over four live VMs whose gateways follow the platform.
 func start(t *testing.T) *fixture {
 	f := &fixture{platform: memplatform.New(), gateways: map[string]*fakeGateway{}}
+	// The templates that the tests' teams refer to.
+	for _, name := range []string{"t", "u"} {
+		if _, err := f.platform.Put(t.Context(), world.KindTemplate, name, fmt.Appendf(nil, `{"name":%q,"retire":"wait"}`, name), 0); err != nil {
+			t.Fatal(err)
+		}
+	}
 	var vms []world.VM
 	ctx, cancel := context.WithCancel(context.Background())
 	follow := func() *config.Holder {
@@ -112,23 +118,23 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := start(t)
 		code, body := f.call("boot", "PUT", "/config/team/a", "*", `{"name":"a","template":"t"}`)
-		if code != 200 || body["version"] != 2.0 || body["gateways"] != 4.0 || body["confirmed"].(float64) < 3 {
+		if code != 200 || body["version"] != 4.0 || body["gateways"] != 4.0 || body["confirmed"].(float64) < 3 {
 			t.Fatalf("create: %d %v", code, body)
 		}
-		if code, body = f.call("boot", "PUT", "/config/team/a", "2", `{"name":"a","template":"t","weight":2}`); code != 200 {
+		if code, body = f.call("boot", "PUT", "/config/team/a", "4", `{"name":"a","template":"t","weight":2}`); code != 200 {
 			t.Fatalf("first operator: %d %v", code, body)
 		}
-		code, body = f.call("boot", "PUT", "/config/team/a", "2", `{"name":"a","template":"t","weight":3}`)
+		code, body = f.call("boot", "PUT", "/config/team/a", "4", `{"name":"a","template":"t","weight":3}`)
 		kind, message := errorOf(body)
-		if code != 412 || kind != string(apierror.PreconditionFailed) || !strings.Contains(message, "newer version 3") {
+		if code != 412 || kind != string(apierror.PreconditionFailed) || !strings.Contains(message, "newer version 5") {
 			t.Fatalf("second operator: %d %v", code, body)
 		}
-		for _, bad := range []struct{ version, body string }{{"", `{"name":"a","template":"t"}`}, {"2", `{"name":"a"}`}, {"2", `{`}} {
+		for _, bad := range []struct{ version, body string }{{"", `{"name":"a","template":"t"}`}, {"4", `{"name":"a"}`}, {"4", `{`}} {
 			if code, body = f.call("boot", "PUT", "/config/team/a", bad.version, bad.body); code != 400 {
 				t.Errorf("%v: %d %v", bad, code, body)
 			}
 		}
-		if code, body = f.call("boot", "DELETE", "/config/team/a", "3", ""); code != 200 || body["confirmed"].(float64) < 3 {
+		if code, body = f.call("boot", "DELETE", "/config/team/a", "5", ""); code != 200 || body["confirmed"].(float64) < 3 {
 			t.Fatalf("delete: %d %v", code, body)
 		}
 	})
@@ -177,12 +183,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := start(t)
 		f.platform.SetFaults(memplatform.Faults{LoseAnswers: 1})
-		if code, body := f.call("boot", "PUT", "/config/team/a", "*", `{"name":"a","template":"t"}`); code != 200 || body["version"] != 2.0 {
+		if code, body := f.call("boot", "PUT", "/config/team/a", "*", `{"name":"a","template":"t"}`); code != 200 || body["version"] != 4.0 {
 			t.Fatalf("own write: %d %v", code, body)
 		}
 		f.platform.SetFaults(memplatform.Faults{LoseAnswers: 1})
 		f.server.Store = &racingStore{Store: f.platform}
-		if code, body := f.call("boot", "PUT", "/config/team/a", "2", `{"name":"a","template":"t","weight":2}`); code != 412 {
+		if code, body := f.call("boot", "PUT", "/config/team/a", "4", `{"name":"a","template":"t","weight":2}`); code != 412 {
 			t.Fatalf("overwritten by another operator: %d %v", code, body)
 		}
 		f.server.Store = f.platform
@@ -193,7 +199,7 @@
 			t.Fatalf("%d keys were issued: %v", n, issued)
 		}
 		f.platform.SetFaults(memplatform.Faults{LoseAnswers: 1})
-		if code, body := f.call("boot", "DELETE", "/config/team/a", "4", ""); code != 200 {
+		if code, body := f.call("boot", "DELETE", "/config/team/a", "6", ""); code != 200 {
 			t.Fatalf("own deletion: %d %v", code, body)
 		}
 		f.platform.SetFaults(memplatform.Faults{Down: true})
@@ -238,8 +244,8 @@
 			{clerk, "GET", "/status", "", "", 200},
 			{clerk, "POST", "/keys", "", `{"team":"a"}`, 201},
 			{clerk, "POST", "/keys", "", `{"team":"b"}`, 403},
-			{clerk, "PUT", "/config/team/a", "3", `{"name":"a","template":"u"}`, 200},
-			{clerk, "PUT", "/config/team/b", "4", `{"name":"b","template":"u"}`, 403},
+			{clerk, "PUT", "/config/team/a", "5", `{"name":"a","template":"u"}`, 200},
+			{clerk, "PUT", "/config/team/b", "6", `{"name":"b","template":"u"}`, 403},
 			{clerk, "PUT", "/config/pool/p", "*", `{"name":"p","kind":"service"}`, 403},
 			{clerk, "POST", "/credentials", "", `{"name":"x","scopes":["admin"]}`, 403},
 			{clerk, "POST", "/endpoints/p/e/drain", "", "", 403},
--- a/internal/controller/admin/configs.go
+++ b/internal/controller/admin/configs.go
@@ -86,6 +86,9 @@
 		return err
 	}
 	ctx := c.Request().Context()
+	if err := s.checkReferences(ctx, kind, name, data); err != nil {
+		return err
+	}
 	version, err := s.write(ctx, kind, name, data, expected)
 	if err != nil {
 		return err
@@ -122,6 +125,9 @@
 	if expected == 0 {
 		return apierror.New(apierror.InvalidRequest, `send 'If-Match: "<version>"'`, "a deletion needs the version to delete")
 	}
+	if err := s.checkUnused(ctx, kind, name); err != nil {
+		return err
+	}
 	if err := s.remove(ctx, kind, name, expected); err != nil {
 		return err
 	}
