daemon: TLS towards the platform; refuse plain TCP; count usage, leases and cuts

Cause: the platform's TLS files were read by no one, auth.CheckPlain was never called, and the instruments of usage copies, sealed windows, the usage lease and quarantine refusals were not called; drains reported 0 cut requests always.

Change: httpplatform takes a TLS configuration, and connections bound to an authority use it too. Gateway and controller refuse to start with a plain side outside loopback (callers, administration, peers, platform), and with platform TLS files for a plain URL. Ledger and Sealer have hooks for their metrics. The drain counts requests still in progress after all parts have drained. /metrics stays plain, as it carries no keys. Endpoints get their addresses from the configuration, so they can't be checked at start.

--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -46,6 +46,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := checkPlain("administration", s.AdminListen, s.AdminTLS); err != nil {
+		return nil, err
+	}
 	adminTLS, err := loadTLS(s.AdminTLS)
 	if err != nil {
 		return nil, err
@@ -128,7 +131,13 @@
 
 // boundPlatform returns a platform client whose connections end with the authority.
 func (c *controllerNode) boundPlatform(a *lease.Authority) *httpplatform.Client {
-	p, err := httpplatform.New(c.settings.PlatformURL, httpplatform.Options{DialContext: a.DialContext})
+	options, err := c.platformOptions()
+	if err != nil {
+		// The same settings were accepted at start.
+		panic(err)
+	}
+	options.DialContext = a.DialContext
+	p, err := httpplatform.New(c.settings.PlatformURL, options)
 	if err != nil {
 		// The same URL was accepted at start.
 		panic(err)
@@ -139,8 +148,13 @@
 // runUsage seals and reports usage windows while it holds the lease.
 func (c *controllerNode) runUsage(ctx context.Context) error {
 	return duty.RunUsage(ctx, c.platform, c.holderName(), func(a *lease.Authority) {
+		metrics, ctx := c.telemetry.Metrics, context.Background()
+		metrics.Lease.Taken(ctx, string(world.DutyUsage))
+		defer metrics.Lease.Lost(ctx, string(world.DutyUsage))
 		sealer := &usage.Sealer{Store: c.platform, VMs: c.platform, Sink: c.boundPlatform(a), Collector: &windowCollector{c.node},
-			Holder: c.holderName(), WindowLength: int64(c.settings.WindowLength / time.Second)}
+			Holder: c.holderName(), WindowLength: int64(c.settings.WindowLength / time.Second),
+			OnSeal:   func(missing int) { metrics.Usage.Sealed(ctx, missing) },
+			OnReport: func(accepted bool) { metrics.Usage.Reported(ctx, accepted) }}
 		sealer.Run(a)
 	})
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -39,6 +39,8 @@
 	// Drain, when not nil, is called when the process is to stop, before any Run is cancelled. It returns when the part
 	// has finished its work in progress or ctx ends.
 	Drain func(ctx context.Context) error
+	// InFlight, when not nil, returns the requests in progress. What is left after all drains is cut.
+	InFlight func() int
 }
 
 // process is a running role.
@@ -132,7 +134,16 @@
 			p.log.Warn().Str("part", part.Name).Str("error", telemetry.Redact(err.Error())).Msg("drain incomplete")
 		}
 	}
-	p.telemetry.Metrics.Drain.Ended(ctx, "process", time.Since(started).Seconds(), 0)
+	cut := 0
+	for _, part := range p.parts {
+		if part.InFlight != nil {
+			cut += part.InFlight()
+		}
+	}
+	if cut > 0 {
+		p.log.Warn().Int("requests", cut).Msg("the drain cuts requests")
+	}
+	p.telemetry.Metrics.Drain.Ended(ctx, "process", time.Since(started).Seconds(), int64(cut))
 }
 
 // Server returns a part that serves HTTP on an address, over TLS unless config is nil. Its drain waits for requests in progress.
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -4,7 +4,10 @@
 	"bytes"
 	"context"
 	"io"
+	"net/http"
+	"net/http/httptest"
 	"os"
+	"regexp"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -98,3 +101,18 @@
 		}
 	}
 }
+
+// Guards against a drain that cuts requests and is counted as one that cut none (G2, G11).
+func TestDrainCountsCutRequests(t *testing.T) {
+	p, signals := newProcess(t, Part{Name: "a", Run: untilDone, InFlight: func() int { return 3 },
+		Drain: func(context.Context) error { return errors.New("requests are still in progress") }})
+	signals <- syscall.SIGTERM
+	if code := p.run(t.Context()); code != ExitOK {
+		t.Errorf("code %d", code)
+	}
+	w := httptest.NewRecorder()
+	p.telemetry.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	if !regexp.MustCompile(`(?m)^crocusglade_drain_cut_total\{[^}]*what="process"[^}]*\} 3$`).Match(w.Body.Bytes()) {
+		t.Errorf("no count of 3 cut requests in:\n%s", w.Body)
+	}
+}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -9,6 +9,7 @@
 	"google.golang.org/grpc"
 
 	"crocusglade.example/crocusglade/internal/admission"
+	"crocusglade.example/crocusglade/internal/apierror"
 	"crocusglade.example/crocusglade/internal/auth"
 	"crocusglade.example/crocusglade/internal/balancer"
 	"crocusglade.example/crocusglade/internal/burn"
@@ -61,6 +62,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := checkPlain("callers", s.Listen, s.CallerTLS); err != nil {
+		return nil, err
+	}
 	callerTLS, err := loadTLS(s.CallerTLS)
 	if err != nil {
 		return nil, err
@@ -95,7 +99,8 @@
 	g.entry = &entry{self: g.self, members: g.members, mesh: g.mesh}
 	copier := &usageCopier{node: base, mesh: g.mesh}
 	g.ledger = usage.NewLedger(usage.Options{Incarnation: s.VMName + "." + g.incarnation, WindowLength: int64(s.WindowLength / time.Second),
-		Peers: copier.peers, Copier: copier, Sealed: usage.ReadSealed(g.platform)})
+		Peers: copier.peers, Copier: copier, Sealed: usage.ReadSealed(g.platform),
+		OnCopy: func(accepted bool) { g.telemetry.Metrics.Usage.Copied(context.Background(), accepted) }})
 	claims := claim.NewStore(claim.Options{Platform: g.platform, Log: g.telemetry.Log})
 	g.gateway = gateway.New(gateway.Options{
 		VM: s.VMName, Incarnation: g.incarnation, Config: g.holder, Keyring: g.keyring, Admission: g.admission, Balancer: g.balancer,
@@ -117,6 +122,7 @@
 // callers returns the part that serves callers. Its drain cuts no request.
 func (g *gatewayNode) callers(s *settings.Gateway, t *auth.TLS) Part {
 	part := Server("callers", s.Listen, serverTLS(t, s.CallerTLS), g.gateway)
+	part.InFlight = g.gateway.InFlight
 	shutdown := part.Drain
 	part.Drain = func(ctx context.Context) error {
 		if err := g.gateway.Drain(ctx); err != nil {
@@ -198,6 +204,9 @@
 	if o.Kind != "" {
 		g.telemetry.Metrics.Admission.Refused(ctx, o.Team, string(o.Kind))
 	}
+	if o.Kind == apierror.Quarantined {
+		g.telemetry.Metrics.Quarantine.Refused(ctx)
+	}
 	if o.Attempts > 1 {
 		g.telemetry.Metrics.Retry.Retried(ctx, o.Pool)
 	}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"net/url"
 
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
@@ -38,6 +39,7 @@
 	keyring     *auth.Keyring
 	peerTLS     *auth.TLS
 	endpointTLS *auth.TLS
+	platformTLS *auth.TLS
 }
 
 // newNode connects nothing yet. self carries the addresses of the calling role only; the platform's list has the others.
@@ -46,7 +48,17 @@
 	n := &node{settings: s, telemetry: t, incarnation: uuid.NewString()[:incarnationLength], self: self, holder: config.NewHolder(),
 		freshness: &config.Freshness{}, keyring: auth.NewKeyring([]byte(s.KeySecret))}
 	var err error
-	if n.platform, err = httpplatform.New(s.PlatformURL, httpplatform.Options{}); err != nil {
+	if err := checkPlain("peer", s.PeerListen, s.PeerTLS); err != nil {
+		return nil, err
+	}
+	if n.platformTLS, err = loadTLS(s.PlatformTLS); err != nil {
+		return nil, errors.Wrap(err, "platform TLS")
+	}
+	options, err := n.platformOptions()
+	if err != nil {
+		return nil, err
+	}
+	if n.platform, err = httpplatform.New(s.PlatformURL, options); err != nil {
 		return nil, err
 	}
 	if n.peerTLS, err = loadTLS(s.PeerTLS); err != nil {
@@ -62,6 +74,40 @@
 	return n, nil
 }
 
+// platformOptions returns the options of clients for the platform. Plain HTTP is for loopback only.
+func (n *node) platformOptions() (httpplatform.Options, error) {
+	u, err := url.Parse(n.settings.PlatformURL)
+	if err != nil {
+		return httpplatform.Options{}, errors.Wrap(err, "platform URL")
+	}
+	if u.Scheme == "http" {
+		if n.platformTLS != nil {
+			return httpplatform.Options{}, errors.New("platform TLS files are set for a plain platform URL; write the URL as https://ADDRESS:PORT, or unset the files")
+		}
+		port := u.Port()
+		if port == "" {
+			port = "80"
+		}
+		return httpplatform.Options{}, checkPlain("platform", net.JoinHostPort(u.Hostname(), port), settings.TLSFiles{})
+	}
+	var o httpplatform.Options
+	if n.platformTLS != nil {
+		o.TLS = n.platformTLS.ClientConfig(u.Hostname())
+	}
+	return o, nil
+}
+
+// checkPlain refuses a side without TLS at an address that is not on loopback.
+func checkPlain(side, addr string, files settings.TLSFiles) error {
+	if files != (settings.TLSFiles{}) {
+		return nil
+	}
+	if err := auth.CheckPlain(addr); err != nil {
+		return errors.Wrap(err, side)
+	}
+	return nil
+}
+
 func (n *node) countChange(s *config.Snapshot) {
 	ctx := context.Background()
 	n.telemetry.Metrics.Config.Applied(ctx, s.Revision())
@@ -88,7 +134,7 @@
 // parts returns the parts that both roles run.
 func (n *node) parts() []Part {
 	parts := []Part{health(n.settings, n.telemetry), {Name: "members", Run: n.members.Run}}
-	for name, t := range map[string]*auth.TLS{"peer TLS": n.peerTLS, "endpoint TLS": n.endpointTLS} {
+	for name, t := range map[string]*auth.TLS{"peer TLS": n.peerTLS, "endpoint TLS": n.endpointTLS, "platform TLS": n.platformTLS} {
 		if t != nil {
 			parts = append(parts, Part{Name: name, Run: t.Run})
 		}
--- /dev/null
+++ b/internal/e2e/metrics_test.go
@@ -0,0 +1,95 @@
+package e2e
+
+import (
+	"bufio"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// scrape sums the samples of each metric family at an address; a label, such as `duty="usage"`, limits them.
+func (c *cluster) scrape(addr, family, label string) float64 {
+	c.t.Helper()
+	r, err := c.client.Get("http://" + addr + "/metrics")
+	if err != nil {
+		c.t.Errorf("scrape %s: %v", addr, err)
+		return 0
+	}
+	defer r.Body.Close()
+	if r.StatusCode != http.StatusOK {
+		c.t.Errorf("scrape %s: status %d", addr, r.StatusCode)
+	}
+	sum, lines := 0.0, bufio.NewScanner(r.Body)
+	for lines.Scan() {
+		name, value, ok := strings.Cut(lines.Text(), " ")
+		base, labels, _ := strings.Cut(name, "{")
+		if !ok || base != "crocusglade_"+family || !strings.Contains(labels, label) {
+			continue
+		}
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			c.t.Errorf("sample %q of %s: %v", lines.Text(), addr, err)
+		}
+		sum += v
+	}
+	return sum
+}
+
+// scrapeAll sums a family over all gateways, or over all controllers.
+func (c *cluster) scrapeAll(gateways bool, family, label string) float64 {
+	sum := 0.0
+	for _, v := range c.vms {
+		addr := v.controllerMetrics
+		if gateways {
+			addr = v.gatewayMetrics
+		}
+		sum += c.scrape(addr, family, label)
+	}
+	return sum
+}
+
+// Guards against instruments that nothing calls, and against values that don't match what ran.
+func TestUsageMetrics(t *testing.T) {
+	t.Parallel()
+	u := newUsageCluster(t)
+	u.startCallers()
+	u.awaitReports(2)
+	u.finish()
+	whole := 0.0
+	for _, r := range u.history.Requests {
+		if r.Team == billedTeams[0] && r.Result == "whole" {
+			whole++
+		}
+	}
+	if got := u.scrapeAll(true, "usage_requests_total", `team="`+billedTeams[0]+`"`); got != whole {
+		t.Errorf("usage_requests of %s is %v, want %v", billedTeams[0], got, whole)
+	}
+	for _, v := range u.vms {
+		if got := u.scrape(v.gatewayMetrics, "usage_copies_total", ""); got < 1 {
+			t.Errorf("%s copied usage %v times", v.Name, got)
+		}
+		for _, addr := range []string{v.gatewayMetrics, v.controllerMetrics} {
+			if got := u.scrape(addr, "config_revision", ""); got < 1 {
+				t.Errorf("config_revision at %s is %v", addr, got)
+			}
+			if got := u.scrape(addr, "config_age_seconds", ""); got < 0 || got > patience.Seconds() {
+				t.Errorf("config_age at %s is %v", addr, got)
+			}
+		}
+	}
+	if got := u.scrapeAll(false, "lease_held", `duty="usage"`); got != 1 {
+		t.Errorf("%v processes hold the usage lease", got)
+	}
+	taken, lost := u.scrapeAll(false, "lease_taken_total", `duty="usage"`), u.scrapeAll(false, "lease_lost_total", `duty="usage"`)
+	if taken-lost != 1 {
+		t.Errorf("the usage lease was taken %v times and lost %v times", taken, lost)
+	}
+	reports := float64(len(u.mem.Reports()))
+	if got := u.scrapeAll(false, "usage_windows_reported_total", ""); got < reports {
+		t.Errorf("usage_windows_reported is %v for %v reported windows", got, reports)
+	}
+	if got := u.scrapeAll(false, "usage_windows_sealed_total", ""); got < reports {
+		t.Errorf("usage_windows_sealed is %v for %v reported windows", got, reports)
+	}
+}
--- a/internal/platform/httpplatform/httpplatform.go
+++ b/internal/platform/httpplatform/httpplatform.go
@@ -8,6 +8,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"io"
 	"net"
@@ -51,6 +52,8 @@
 	WatchIdle   time.Duration
 	// DialContext replaces the dialer, for connections that are bound to an authority.
 	DialContext func(ctx context.Context, network, addr string) (net.Conn, error)
+	// TLS is used for https; nil means the system's authorities and no client certificate.
+	TLS *tls.Config
 }
 
 // Client speaks to one platform. Its methods may be called concurrently.
@@ -78,6 +81,7 @@
 	o = o.withDefaults()
 	transport := &http.Transport{
 		DialContext:           o.DialContext,
+		TLSClientConfig:       o.TLS,
 		MaxIdleConnsPerHost:   maxIdleConnections,
 		IdleConnTimeout:       time.Minute,
 		TLSHandshakeTimeout:   o.DialTimeout,
--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -70,6 +70,8 @@
 	// Sealed reads a sealed window. It returns nil without an error when the window is not sealed yet. When Sealed is nil,
 	// counts that may have been sealed stay in their window.
 	Sealed func(ctx context.Context, window int64) (*world.UsageWindow, error)
+	// OnCopy is called for each copy that a peer answered; accepted is false when the peer has closed a window of it. Optional.
+	OnCopy func(accepted bool)
 }
 
 // Ledger counts a gateway's own usage and keeps copies of its peers' counters. It implements Recorder. Its methods may be
@@ -299,6 +301,8 @@
 		l.mu.Lock()
 		l.suspect[peer] = time.Now().Add(suspectFor)
 		l.mu.Unlock()
+	} else if l.o.OnCopy != nil {
+		l.o.OnCopy(len(r.closed) == 0)
 	}
 	return r
 }
--- a/internal/usage/sealer.go
+++ b/internal/usage/sealer.go
@@ -48,6 +48,9 @@
 	Holder    string
 	// WindowLength is in seconds; zero means world.WindowLength.
 	WindowLength int64
+	// OnSeal is called for each window that this process sealed, and OnReport for each answer to a report. Optional.
+	OnSeal   func(missing int)
+	OnReport func(accepted bool)
 }
 
 // Run seals and reports every window that has ended, until the authority ends. It fits lease.Keeper.Run.
@@ -260,6 +263,9 @@
 	for a.Valid() {
 		version, err := s.Store.Put(a.Context(), world.KindWindow, w.ID, data, 0)
 		if err == nil {
+			if s.OnSeal != nil {
+				s.OnSeal(len(w.Missing))
+			}
 			return w, version, nil
 		}
 		// A conflict or a lost answer: the window may be sealed, by this process or by another.
@@ -284,6 +290,9 @@
 			return lease.ErrNoAuthority
 		}
 		err := s.Sink.Report(a.Context(), w)
+		if s.OnReport != nil {
+			s.OnReport(err == nil)
+		}
 		if err == nil {
 			break
 		}
