--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -49,6 +49,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := checkPlain("administration", s.AdminListen, s.AdminTLS); err != nil {
+		return nil, err
+	}
 	adminTLS, err := loadTLS(s.AdminTLS)
 	if err != nil {
 		return nil, err
@@ -177,7 +180,13 @@
 
 // boundPlatform returns a platform client whose connections end with the authority.
 func (c *controllerNode) boundPlatform(a *lease.Authority) *httpplatform.Client {
-	p, err := httpplatform.New(c.settings.PlatformURL, httpplatform.Options{DialContext: a.DialContext})
+	options, err := c.platformOptions()
+	if err != nil {
+		// The same settings were accepted at start.
+		panic(err)
+	}
+	options.DialContext = a.DialContext
+	p, err := httpplatform.New(c.settings.PlatformURL, options)
 	if err != nil {
 		// The same URL was accepted at start.
 		panic(err)
@@ -188,14 +197,22 @@
 // runUsage seals and reports usage windows while it holds the lease.
 func (c *controllerNode) runUsage(ctx context.Context) error {
 	return c.whileCandidate(ctx, string(world.DutyUsage), func(ctx context.Context) error {
-		return duty.RunUsage(ctx, c.platform, c.holderName(), c.members.Rank, func(a *lease.Authority) {
-			sealer := &usage.Sealer{Store: c.platform, VMs: c.platform, Sink: c.boundPlatform(a), Collector: &windowCollector{c.node},
-				Holder: c.holderName(), WindowLength: int64(c.settings.WindowLength / time.Second)}
-			sealer.Run(a)
-		})
+		return duty.RunUsage(ctx, c.platform, c.holderName(), c.members.Rank, c.sealWindows)
 	})
 }
 
+// sealWindows runs the sealer for one term.
+func (c *controllerNode) sealWindows(a *lease.Authority) {
+	metrics, ctx := c.telemetry.Metrics, context.Background()
+	metrics.Lease.Taken(ctx, string(world.DutyUsage))
+	defer metrics.Lease.Lost(ctx, string(world.DutyUsage))
+	sealer := &usage.Sealer{Store: c.platform, VMs: c.platform, Sink: c.boundPlatform(a), Collector: &windowCollector{c.node},
+		Holder: c.holderName(), WindowLength: int64(c.settings.WindowLength / time.Second),
+		OnSeal:   func(missing int) { metrics.Usage.Sealed(ctx, missing) },
+		OnReport: func(accepted bool) { metrics.Usage.Reported(ctx, accepted) }}
+	sealer.Run(a)
+}
+
 // runClaims reconciles claims that gateways left open while it holds the lease.
 func (c *controllerNode) runClaims(ctx context.Context) error {
 	store := claim.NewStore(claim.Options{Platform: c.platform, Log: c.telemetry.Log})
