--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"hash/maphash"
+	"strconv"
 	"time"
 
 	"google.golang.org/grpc"
@@ -111,7 +112,13 @@
 		VM: s.VMName, Incarnation: g.incarnation, Config: g.holder, Keyring: g.keyring, Admission: g.admission, Balancer: g.balancer,
 		Budget: retry.NewBudget(retryRatio), Quarantine: g.quarantine, Claims: claims, Usage: g.ledger, Members: g.entry,
 		Answers: &answerFetcher{node: base}, Endpoints: endpoint.New(g.endpointOptions()),
-		ContactLost: func() bool { return !g.mesh.InContact() }, OnDeath: g.neighbours.died, Observe: g.observe,
+		ContactLost: func() bool { return !g.mesh.InContact() }, OnDeath: g.died, Observe: g.observe,
+		OnClaim: func(team string, state world.ClaimState) {
+			g.telemetry.Metrics.Claim.Written(context.Background(), team, string(state))
+		},
+		OnRepeat: func(answer gateway.RepeatAnswer) {
+			g.telemetry.Metrics.Claim.Repeated(context.Background(), string(answer))
+		},
 		HandOver: claims.Flush, Log: g.telemetry.Log, EntryLifetime: s.EntryLifetime,
 	})
 	g.neighbours.draining = g.gateway.Draining
@@ -215,9 +222,7 @@
 	if o.Kind == apierror.Quarantined {
 		g.telemetry.Metrics.Quarantine.Refused(ctx)
 	}
-	if o.Attempts > 1 {
-		g.telemetry.Metrics.Retry.Retried(ctx, o.Pool)
-	}
+	g.countDecisions(ctx, o)
 	if o.Kind == "" {
 		g.telemetry.Metrics.Usage.Add(ctx, o.Team, int64(o.Usage.PromptTokens), int64(o.Usage.OutputTokens))
 	}
@@ -227,5 +232,39 @@
 	g.burn.Record(o.Team, o.Route, o.Kind == "" && o.FirstByte <= target)
 }
 
+// died counts an endpoint's death under a request and tells the neighbours.
+func (g *gatewayNode) died(fingerprint uint64, endpoint string) {
+	e, _ := g.balancer.Endpoint(endpoint)
+	g.telemetry.Metrics.Quarantine.Death(context.Background(), e.Pool)
+	if g.quarantine.Blocked(fingerprint) {
+		g.telemetry.Metrics.Quarantine.Added(context.Background(), "own")
+	}
+	g.neighbours.died(fingerprint, endpoint)
+}
+
+// countDecisions counts what admission, choice and retries decided for a request.
+func (g *gatewayNode) countDecisions(ctx context.Context, o gateway.Observation) {
+	m := g.telemetry.Metrics
+	switch {
+	case o.Attempts > 0:
+		m.Admission.Admitted(ctx, o.Team, strconv.Itoa(int(o.Priority)), o.Queued.Seconds())
+		m.Choice.Chosen(ctx, o.Pool, o.Affinity)
+	case o.Kind == apierror.Overloaded || o.Kind == apierror.Unavailable:
+		m.Choice.None(ctx, o.Pool)
+	}
+	if o.FirstByte > 0 && o.Kind == "" {
+		m.Choice.FirstToken(ctx, o.Pool, (o.FirstByte - o.Queued).Seconds(), o.Predicted.Seconds())
+	}
+	for range o.Attempts - 1 {
+		m.Retry.Retried(ctx, o.Pool)
+	}
+	for range o.Resumed {
+		m.Retry.Resumed(ctx, o.Pool)
+	}
+	if o.BudgetRefused {
+		m.Retry.BudgetExhausted(ctx, o.Pool)
+	}
+}
+
 // callersFault tells whether an answer's status blames the caller; such requests burn no budget.
 func callersFault(status int) bool { return status >= 400 && status < 500 && status != 429 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -47,6 +47,12 @@
 	attempts int
 	usage    world.Usage
 	firstAt  time.Time
+	// For counters, as in Observation.
+	queued        time.Duration
+	predicted     time.Duration
+	affinity      bool
+	resumed       int
+	budgetRefused bool
 }
 
 // identify authenticates a request. Routes that are open to all pass without a key, but never with a bad one.
@@ -204,7 +210,8 @@
 
 func (g *Gateway) observe(c *call, a *answer) {
 	o := Observation{Team: c.team, Route: c.route, Pool: c.pool.Name, Priority: c.priority, Status: a.status,
-		Total: time.Since(c.arrival), Attempts: c.attempts, Usage: c.usage}
+		Total: time.Since(c.arrival), Attempts: c.attempts, Usage: c.usage, Queued: c.queued, Predicted: c.predicted, Affinity: c.affinity,
+		Resumed: c.resumed, BudgetRefused: c.budgetRefused}
 	if a.err != nil {
 		o.Kind = a.err.Kind
 	}
--- a/internal/gateway/claimed.go
+++ b/internal/gateway/claimed.go
@@ -27,6 +27,15 @@
 	outcomePoll = 100 * time.Millisecond
 )
 
+// RepeatAnswer tells how a repeated idempotency key was answered.
+type RepeatAnswer string
+
+const (
+	RepeatStored     RepeatAnswer = "stored"
+	RepeatInProgress RepeatAnswer = "in_progress"
+	RepeatUnknown    RepeatAnswer = "unknown"
+)
+
 // replayHeader marks an answer that was stored when the call ran.
 const replayHeader = "Idempotent-Replayed"
 
@@ -118,13 +127,17 @@
 func (g *Gateway) replay(c world.Claim, a *answer) {
 	switch {
 	case c.State == world.ClaimDone && c.BodyKept:
+		g.opts.OnRepeat(RepeatStored)
 		a.settle(c.Status, http.Header{"Content-Type": {c.ContentType}, replayHeader: {"true"}}, c.Body)
 	case c.State == world.ClaimDone:
+		g.opts.OnRepeat(RepeatStored)
 		note := []byte(`{"note":"the call ran before with this status; its body was not kept"}`)
 		a.settle(c.Status, http.Header{"Content-Type": {jsonType}, replayHeader: {"true"}, "Idempotent-Body-Kept": {"false"}}, note)
 	case c.State == world.ClaimUnresolved:
+		g.opts.OnRepeat(RepeatUnknown)
 		a.fail(outcomeUnknown(c))
 	default:
+		g.opts.OnRepeat(RepeatInProgress)
 		a.fail(apierror.New(apierror.InProgress, "repeat the call with the same key later to get its outcome",
 			"a call with this idempotency key is in progress").WithRun(apierror.Unknown))
 	}
@@ -138,6 +151,7 @@
 // releaseClaim records that nothing was sent, which allows another attempt.
 func (g *Gateway) releaseClaim(ctx context.Context, c world.Claim, a *answer, cause error) (bool, error) {
 	stored := g.store(ctx, c, func(ctx context.Context) error { return g.opts.Claims.NotRun(ctx, c) })
+	g.opts.OnClaim(c.Team, world.ClaimNotRun)
 	if !stored {
 		// The claim still stands, so another attempt could not be told from a repeated call.
 		a.fail(apierror.New(apierror.Unavailable, "repeat the call with the same key later", "no endpoint could be reached"))
@@ -176,6 +190,7 @@
 func (g *Gateway) finishClaim(ctx context.Context, s *serviceCall, c world.Claim, a *answer, got *endpoint.ServiceAnswer) {
 	outcome := claim.Outcome{Status: got.Status, ContentType: got.Header.Get("Content-Type"), Body: got.Body}
 	g.store(ctx, c, func(ctx context.Context) error { return g.opts.Claims.Finish(ctx, c, outcome) })
+	g.opts.OnClaim(c.Team, world.ClaimDone)
 	g.settleService(ctx, s, a, got)
 }
 
@@ -199,6 +214,7 @@
 		}
 	}
 	g.store(ctx, c, func(ctx context.Context) error { return g.opts.Claims.Unresolved(ctx, c) })
+	g.opts.OnClaim(c.Team, world.ClaimUnresolved)
 	a.fail(outcomeUnknown(c))
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -74,6 +75,14 @@
 	Total     time.Duration
 	Attempts  int
 	Usage     world.Usage
+	// Queued is the time spent in admission.
+	Queued time.Duration
+	// Predicted is the predicted time to the first token at the first endpoint, Affinity tells whether the choice followed a cached prefix.
+	Predicted time.Duration
+	Affinity  bool
+	// Resumed counts resumes at the same endpoint and moves, BudgetRefused is true when the budget refused a retry.
+	Resumed       int
+	BudgetRefused bool
 }
 
 // Options holds what a gateway depends on. Fields marked optional may stay zero.
@@ -105,6 +114,9 @@
 	OnDeath func(fingerprint uint64, endpoint string)
 	// Observe is called for each finished request. Optional.
 	Observe func(Observation)
+	// OnClaim is called when a claim of a team reaches a state, OnRepeat when a repeated idempotency key is answered. Optional.
+	OnClaim  func(team string, state world.ClaimState)
+	OnRepeat func(answer RepeatAnswer)
 	// HandOver is called at the end of a drain. Optional.
 	HandOver func(ctx context.Context) error
 	// Log takes changes of state. Optional.
@@ -130,6 +142,8 @@
 	echo    *echo.Echo
 	answers *answerStore
 	streams *streamTable
+	// copiesFail is true while peers take no copies of usage; its changes are logged.
+	copiesFail atomic.Bool
 
 	mu       sync.Mutex
 	leaving  bool
@@ -162,6 +176,12 @@
 	if o.Observe == nil {
 		o.Observe = func(Observation) {}
 	}
+	if o.OnClaim == nil {
+		o.OnClaim = func(string, world.ClaimState) {}
+	}
+	if o.OnRepeat == nil {
+		o.OnRepeat = func(RepeatAnswer) {}
+	}
 	if o.HandOver == nil {
 		o.HandOver = func(context.Context) error { return nil }
 	}
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -223,6 +224,8 @@
 }
 
 func (g *Gateway) admit(ctx context.Context, c *call, tokens int) (*admission.Ticket, error) {
+	started := time.Now()
+	defer func() { c.queued = time.Since(started) }()
 	return g.opts.Admission.Acquire(ctx, admission.Request{Team: c.team, Pool: c.pool.Name, Priority: c.priority, Tokens: tokens, Deadline: c.deadline})
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -66,6 +66,7 @@
 			return
 		}
 		if next != nil {
+			m.resumed++
 			try--
 		}
 		if ctx.Err() != nil || !s.continuable(last) {
@@ -87,6 +88,7 @@
 	}
 	if c.attempts == 0 {
 		g.opts.Budget.First(place.Pool)
+		c.predicted, c.affinity = choice.Predicted, choice.CachedTokens > 0
 	}
 	c.attempts++
 	return choice, nil
@@ -101,7 +103,9 @@
 	if e := endpoint.AsError(last); e != nil && !e.Sent {
 		return true
 	}
-	return g.opts.Budget.Allow(c.pool.Name)
+	allowed := g.opts.Budget.Allow(c.pool.Name)
+	c.budgetRefused = c.budgetRefused || !allowed
+	return allowed
 }
 
 // attempt runs the rest of the answer on one engine, resuming there while that brings new tokens. It returns no error after the
@@ -134,6 +138,7 @@
 		if resumeErr != nil {
 			break
 		}
+		s.m.resumed++
 		err = nil
 	}
 	if err != nil {
@@ -230,8 +235,9 @@
 // answer, because the answer is whole.
 func (g *Gateway) recordUsage(ctx context.Context, c *call, u endpoint.Usage) {
 	c.usage = world.Usage{Requests: 1, PromptTokens: uint64(max(0, u.PromptTokens)), OutputTokens: uint64(max(0, u.CompletionTokens))}
-	if err := g.opts.Usage.Record(context.WithoutCancel(ctx), c.team, c.usage); err != nil {
-		g.opts.Log.Warn().Err(err).Msg("usage has no copy at a peer")
+	err := g.opts.Usage.Record(context.WithoutCancel(ctx), c.team, c.usage)
+	if failed := err != nil; g.copiesFail.Swap(failed) != failed {
+		g.opts.Log.Warn().Err(err).Bool("copied", !failed).Msg("copies of usage at peers changed")
 	}
 }
 
