--- a/internal/capacity/latency.go
+++ b/internal/capacity/latency.go
@@ -22,8 +22,9 @@
 	segments      = 3
 	segmentLength = 5 * time.Second
 	// slowDecode gives streams of 0.8 s, as long as an answer of a few words takes.
-	slowDecode = 20
-	fastDecode = 1e5
+	slowDecode   = 20
+	streamLength = answerTokens * time.Second / slowDecode
+	fastDecode   = 1e5
 	// idleDecode leaves 5 s between tokens, within the 10 s after which a gateway gives a stream up.
 	idleDecode    = 0.2
 	idleStreams   = 1000
@@ -107,6 +108,8 @@
 	var wg sync.WaitGroup
 	for worker := range inFlight {
 		wg.Go(func() {
+			// Calls that begin together stay together, and would measure bursts.
+			time.Sleep(streamLength * time.Duration(worker) / time.Duration(inFlight))
 			for i := worker; time.Now().Before(end) && ctx.Err() == nil; i += inFlight {
 				first, err := stream(ctx, client, to, i)
 				mu.Lock()
--- a/internal/capacity/main.go
+++ b/internal/capacity/main.go
@@ -34,7 +34,8 @@
 
 // extraGroups measure more than the use of one size.
 var extraGroups = map[string]func(context.Context, string, options) error{"changes": runChanges, "callers": runCallers, "latency": runLatency,
-	"streams": func(ctx context.Context, daemon string, _ options) error { return measureStreams(ctx, daemon) }}
+	"firstbyte": func(ctx context.Context, daemon string, _ options) error { return measureFirstByte(ctx, daemon) },
+	"streams":   func(ctx context.Context, daemon string, _ options) error { return measureStreams(ctx, daemon) }}
 
 type options struct {
 	groups         string
@@ -76,7 +77,7 @@
 			continue
 		}
 		if pageSizes[group] == nil {
-			return errors.Errorf("group %q is not known; use some of %s, changes, callers, latency, streams", group, strings.Join(slices.Sorted(maps.Keys(pageSizes)), ", "))
+			return errors.Errorf("group %q is not known; use some of %s, changes, callers, latency, firstbyte, streams", group, strings.Join(slices.Sorted(maps.Keys(pageSizes)), ", "))
 		}
 		for _, s := range pageSizes[group] {
 			if err := runSize(ctx, daemon, o, s); err != nil {
