Name the endpoint's instance in every claim; judge no key without contact

Cause: TestKilledGatewayLosesNoDeclaration failed once in a run of all tests: the claim of a gateway killed before its dispatch stayed unresolved. The most likely cause is a claim written before the first load report named the endpoint's instance, without which 'unknown' proves nothing. A restarted gateway also refused good keys as unknown before it had its configuration. Change: the gateway asks the endpoint for its instance when no report has named it. Keyed work needs a ready gateway in contact, and this is checked before the key. Ruled out: waiting for load reports, which services need not give.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -112,7 +112,7 @@
 		VM: s.VMName, Incarnation: g.incarnation, Config: g.holder, Keyring: g.keyring, Admission: g.admission, Balancer: g.balancer,
 		Budget: retry.NewBudget(retryRatio), Quarantine: g.quarantine, Claims: claims, Usage: g.ledger, Members: g.entry,
 		Answers: &answerFetcher{node: base}, Endpoints: endpoint.New(g.endpointOptions()),
-		ContactLost: func() bool { return !g.mesh.InContact() }, OnDeath: g.died, Observe: g.observe,
+		ContactLost: func() bool { return !g.readiness.Ready() || !g.mesh.InContact() }, OnDeath: g.died, Observe: g.observe,
 		OnClaim: func(team string, state world.ClaimState) {
 			g.telemetry.Metrics.Claim.Written(context.Background(), team, string(state))
 		},
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -65,16 +65,17 @@
 	if len(r.Header.Values("Authorization")) > 1 {
 		return nil, apierror.New(apierror.Unauthenticated, "send one Authorization header", "the request has more than one key")
 	}
-	record, err := g.opts.Keyring.Authenticate(c.snapshot, authorization)
-	if err != nil {
-		return nil, err
-	}
+	// A gateway without contact knows neither new nor withdrawn keys, so it must not judge them.
 	if g.opts.ContactLost() {
 		e := apierror.New(apierror.Unavailable, "retry at one of the addresses named here",
-			"this gateway has lost contact and can't tell whether keys are still valid")
+			"this gateway has no contact and can't tell whether keys are valid")
 		e.Addresses = g.opts.Members.Addresses()
 		return nil, e
 	}
+	record, err := g.opts.Keyring.Authenticate(c.snapshot, authorization)
+	if err != nil {
+		return nil, err
+	}
 	team := c.snapshot.Team(record.Team)
 	if team == nil {
 		return nil, apierror.New(apierror.Forbidden, "ask an operator to create the team", "team %s does not exist", record.Team)
--- a/internal/gateway/claimed.go
+++ b/internal/gateway/claimed.go
@@ -55,6 +55,18 @@
 	}
 }
 
+// instanceOf asks an endpoint for its instance, since no report of it has arrived yet. Without an instance in the claim, an
+// endpoint that does not know the request proves nothing, and the claim of a killed gateway stays unresolved.
+func (g *Gateway) instanceOf(ctx context.Context, choice *balancer.Choice) string {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	load, err := g.opts.Endpoints.Load(ctx, choice.Endpoint.Addr)
+	if err != nil {
+		return "" // The service may report no load; the call itself tells whether it can be reached.
+	}
+	return load.Instance
+}
+
 func hashParts(parts ...string) string {
 	h := sha256.New()
 	for _, p := range parts {
@@ -93,6 +105,9 @@
 // attemptClaimed writes the claim and dispatches the call. It returns false when nothing was sent and the claim is released.
 func (g *Gateway) attemptClaimed(ctx context.Context, s *serviceCall, choice *balancer.Choice, a *answer) (bool, error) {
 	c := g.newClaim(s, choice)
+	if c.Instance == "" {
+		c.Instance = g.instanceOf(ctx, choice)
+	}
 	sendBefore := time.Now().Add(g.opts.DispatchWithin)
 	g.addAttempt(c.Attempt)
 	existing, won, err := g.opts.Claims.Begin(ctx, c)
