Write one wait, one record of first cleanings and one list of windows

Change: internal/ctxtime has the wait; first cleanings are written at once; the sealer lists windows once for each window that ends. Result: the packages concerned pass under the race detector. The traffic was not measured again.

--- a/internal/config/backoff.go
+++ b/internal/config/backoff.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"crocusglade.example/crocusglade/internal/ctxtime"
 )
 
 const (
@@ -21,16 +23,5 @@
 // wait sleeps and returns false when ctx has ended.
 func (b *backoff) wait(ctx context.Context) bool {
 	b.next = min(max(2*b.next, firstBackoff), maxBackoff)
-	return sleep(ctx, b.next/2+rand.N(b.next/2))
-}
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
+	return ctxtime.Sleep(ctx, b.next/2+rand.N(b.next/2))
 }
--- a/internal/config/source.go
+++ b/internal/config/source.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"crocusglade.example/crocusglade/internal/ctxtime"
 	"crocusglade.example/crocusglade/internal/platform"
 	"crocusglade.example/crocusglade/internal/world"
 )
@@ -254,7 +255,7 @@
 		return nil
 	}
 	// The list can be ahead of the watch by the watch's delay. Only what is still missing after it counts as missed.
-	if !sleep(ctx, watchDelay) {
+	if !ctxtime.Sleep(ctx, watchDelay) {
 		return ctx.Err()
 	}
 	if events = s.holder.Current().stillMissing(events); len(events) == 0 {
--- a/internal/config/supply.go
+++ b/internal/config/supply.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"crocusglade.example/crocusglade/internal/ctxtime"
 	"crocusglade.example/crocusglade/internal/membership"
 	"crocusglade.example/crocusglade/internal/world"
 )
@@ -71,7 +72,7 @@
 		defer close(done)
 		_ = run(ctx)
 	}()
-	for sleep(ctx, supplyPeriod) {
+	for ctxtime.Sleep(ctx, supplyPeriod) {
 		if stop() {
 			cancel()
 			<-done
--- a/internal/controller/collector.go
+++ b/internal/controller/collector.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"crocusglade.example/crocusglade/internal/config"
+	"crocusglade.example/crocusglade/internal/ctxtime"
 	"crocusglade.example/crocusglade/internal/membership"
 	"crocusglade.example/crocusglade/internal/peer/peerpb"
 	"crocusglade.example/crocusglade/internal/world"
@@ -147,7 +148,7 @@
 }
 
 func (c *Collector) pollLoad(ctx context.Context, r *report, e world.Endpoint) {
-	pause(ctx, rand.N(loadPeriod))
+	ctxtime.Sleep(ctx, rand.N(loadPeriod))
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, loadTimeout)
 		l, err := c.client.Load(callCtx, e)
@@ -158,7 +159,7 @@
 			c.update(r, loadMessage(l))
 			c.mu.Unlock()
 		}
-		pause(ctx, loadPeriod)
+		ctxtime.Sleep(ctx, loadPeriod)
 	}
 }
 
@@ -209,7 +210,7 @@
 		r.next = 0
 		c.mu.Unlock()
 		_ = c.client.CacheEvents(ctx, e, func(ev CacheEvent) { c.cacheEvent(r, ev) })
-		pause(ctx, followRetry)
+		ctxtime.Sleep(ctx, followRetry)
 	}
 }
 
--- a/internal/controller/directory.go
+++ b/internal/controller/directory.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc"
 
 	"crocusglade.example/crocusglade/internal/config"
+	"crocusglade.example/crocusglade/internal/ctxtime"
 	"crocusglade.example/crocusglade/internal/membership"
 	"crocusglade.example/crocusglade/internal/peer/peerpb"
 	"crocusglade.example/crocusglade/internal/platform"
@@ -105,22 +106,13 @@
 		}
 		if d.provider != nil && slices.ContainsFunc(pollers, func(vm world.VM) bool { return vm.Name == d.self }) {
 			d.poll(ctx, pool)
-			pause(ctx, providerPeriod*3/4+rand.N(providerPeriod/2))
+			ctxtime.Sleep(ctx, providerPeriod*3/4+rand.N(providerPeriod/2))
 			continue
 		}
 		if len(pollers) > 0 {
 			_ = d.follow(ctx, pollers[try%len(pollers)], pool)
 		}
-		pause(ctx, followRetry)
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
+		ctxtime.Sleep(ctx, followRetry)
 	}
 }
 
--- a/internal/controller/loadserver.go
+++ b/internal/controller/loadserver.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/protobuf/proto"
 
+	"crocusglade.example/crocusglade/internal/ctxtime"
 	"crocusglade.example/crocusglade/internal/peer/peerpb"
 )
 
@@ -51,7 +52,7 @@
 			}
 			last = time.Now()
 		}
-		pause(stream.Context(), out.batch())
+		ctxtime.Sleep(stream.Context(), out.batch())
 		wait := time.NewTimer(out.untilDue(last.Add(heartbeat)))
 		select {
 		case <-stream.Context().Done():
--- a/internal/controller/loadsubscriber.go
+++ b/internal/controller/loadsubscriber.go
@@ -9,6 +9,7 @@
 
 	"crocusglade.example/crocusglade/internal/balancer"
 	"crocusglade.example/crocusglade/internal/config"
+	"crocusglade.example/crocusglade/internal/ctxtime"
 	"crocusglade.example/crocusglade/internal/membership"
 	"crocusglade.example/crocusglade/internal/peer/peerpb"
 	"crocusglade.example/crocusglade/internal/world"
@@ -133,7 +134,7 @@
 		select {
 		case <-ctx.Done():
 		case <-changed:
-			pause(ctx, loadBatch)
+			ctxtime.Sleep(ctx, loadBatch)
 		}
 	}
 }
@@ -198,7 +199,7 @@
 		if vm, ok := s.members.VM(name); ok {
 			_ = s.subscribe(ctx, vm, endpoints)
 		}
-		pause(ctx, followRetry)
+		ctxtime.Sleep(ctx, followRetry)
 	}
 }
 
--- a/internal/duty/action.go
+++ b/internal/duty/action.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"crocusglade.example/crocusglade/internal/ctxtime"
 	"crocusglade.example/crocusglade/internal/lease"
 	"crocusglade.example/crocusglade/internal/order"
 	"crocusglade.example/crocusglade/internal/world"
@@ -67,7 +68,7 @@
 // the platform and serve on, so the time counts anew after each read that fails.
 func (o *Orders) awaitSettled(ctx context.Context, d *order.Dispatcher) error {
 	for since := time.Now(); time.Since(since) < o.settleTime(); {
-		if !pause(ctx, min(settlePollEvery, o.settleTime())) {
+		if !ctxtime.Sleep(ctx, min(settlePollEvery, o.settleTime())) {
 			return ctx.Err()
 		}
 		if d.Ping(ctx) != nil {
@@ -121,7 +122,7 @@
 		if time.Now().After(end) {
 			return errLate
 		}
-		if !pause(ctx, providerPollEvery) {
+		if !ctxtime.Sleep(ctx, providerPollEvery) {
 			return ctx.Err()
 		}
 	}
@@ -188,7 +189,7 @@
 // forgetGone drops the entries of an endpoint that neither the fleet nor the provider has listed for the settle time. Other
 // processes may still route to it until then.
 func (o *Orders) forgetGone(ctx context.Context, d *order.Dispatcher, name string) error {
-	if !pause(ctx, o.settleTime()) {
+	if !ctxtime.Sleep(ctx, o.settleTime()) {
 		return ctx.Err()
 	}
 	_, listed, err := d.ProviderEndpoint(ctx, name)
@@ -239,7 +240,7 @@
 		if ready(e) {
 			return nil
 		}
-		if !pause(ctx, pollEvery) {
+		if !ctxtime.Sleep(ctx, pollEvery) {
 			return ctx.Err()
 		}
 	}
@@ -252,15 +253,3 @@
 	}
 	return settle
 }
-
-// pause sleeps and returns false when ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/duty/deployment.go
+++ b/internal/duty/deployment.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"crocusglade.example/crocusglade/internal/claim"
+	"crocusglade.example/crocusglade/internal/ctxtime"
 	"crocusglade.example/crocusglade/internal/lease"
 	"crocusglade.example/crocusglade/internal/platform"
 	"crocusglade.example/crocusglade/internal/world"
@@ -43,7 +44,7 @@
 				log.Info().Int("done", report.Done).Int("not_run", report.NotRun).Int("unresolved", report.Unresolved).
 					Msg("claims reconciled")
 			}
-			pause(a.Context(), reconcileEvery)
+			ctxtime.Sleep(a.Context(), reconcileEvery)
 		}
 	})
 }
--- a/internal/duty/firstseen.go
+++ b/internal/duty/firstseen.go
@@ -13,21 +13,21 @@
 // firstCleanings is the number of steps over which the first cleanings of a pool are spread.
 const firstCleanings = 100
 
-// recordFirstSeen writes a cleaning time for an endpoint that has none, so that the endpoints of a new pool don't all come due at
-// once. The time lies up to half a period back, by the endpoint's name. It is kept on the platform, because a restart of the
-// holder must not put cleanings off. It returns true when it wrote one.
+// recordFirstSeen writes cleaning times for endpoints that have none, so that the endpoints of a new pool don't all come due at
+// once. The times lie up to half a period back, by the endpoints' names. They are kept on the platform, because a restart of the
+// holder must not put cleanings off, and written at once, because each write goes to all gateways. It returns true when it wrote.
 func recordFirstSeen(ctx context.Context, d *order.Dispatcher, v PoolView) bool {
 	period := world.DefaultCleanEvery
 	if v.Pool.CleanEveryHours > 0 {
 		period = time.Duration(v.Pool.CleanEveryHours) * time.Hour
 	}
+	first := make(map[string]time.Time)
 	for _, e := range v.Endpoints {
 		if !e.Cleaned.IsZero() || e.State == world.EndpointStarting {
 			continue
 		}
 		step := time.Duration(xxhash.Sum64String(e.Name) % firstCleanings)
-		back := period / 2 * step / firstCleanings
-		return d.SetCleaned(ctx, e.Name, v.Now.Add(-back)) == nil
+		first[e.Name] = v.Now.Add(-period / 2 * step / firstCleanings)
 	}
-	return false
+	return len(first) > 0 && d.SetAllCleaned(ctx, first) == nil
 }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
+	"crocusglade.example/crocusglade/internal/ctxtime"
 	"crocusglade.example/crocusglade/internal/platform"
 	"crocusglade.example/crocusglade/internal/world"
 )
@@ -91,7 +92,7 @@
 			k.hold(a, lead)
 		}
 		// The wait also follows a term, so that another candidate gets its turn when lead fails at once.
-		sleep(ctx, k.o.TTL/pollsPerTTL)
+		ctxtime.Sleep(ctx, k.o.TTL/pollsPerTTL)
 	}
 	return ctx.Err()
 }
@@ -113,7 +114,7 @@
 func (k *Keeper) renewUntilEnd(a *Authority) {
 	next := time.Now().Add(k.o.RenewEvery)
 	for a.Valid() {
-		if !sleep(a.Context(), min(clockCheckEvery, time.Until(next))) {
+		if !ctxtime.Sleep(a.Context(), min(clockCheckEvery, time.Until(next))) {
 			return
 		}
 		if time.Now().Before(next) {
@@ -248,15 +249,3 @@
 	defer cancel()
 	_, _ = k.write(ctx, world.Lease{Fence: k.value.Fence})
 }
-
-// sleep returns false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -337,6 +337,15 @@
 	return d.edit(ctx, func(s *world.PoolOrders) { setEntry(&s.Cleaned, endpoint, at.UnixMilli()) })
 }
 
+// SetAllCleaned records the times of several endpoints' last cleanings in one write.
+func (d *Dispatcher) SetAllCleaned(ctx context.Context, cleaned map[string]time.Time) error {
+	return d.edit(ctx, func(s *world.PoolOrders) {
+		for endpoint, at := range cleaned {
+			setEntry(&s.Cleaned, endpoint, at.UnixMilli())
+		}
+	})
+}
+
 // ClearCleaned forgets an endpoint's cleaning, for an endpoint that is gone.
 func (d *Dispatcher) ClearCleaned(ctx context.Context, endpoint string) error {
 	return d.edit(ctx, func(s *world.PoolOrders) { delete(s.Cleaned, endpoint) })
--- a/internal/standin/engine_control.go
+++ b/internal/standin/engine_control.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"crocusglade.example/crocusglade/internal/ctxtime"
 	"crocusglade.example/crocusglade/internal/world"
 )
 
@@ -132,7 +133,7 @@
 		e.mu.Unlock()
 		next += len(events)
 		for _, ev := range events {
-			if !sleep(r.Context(), time.Until(ev.at.Add(e.cfg.CacheEventDelay))) {
+			if !ctxtime.Sleep(r.Context(), time.Until(ev.at.Add(e.cfg.CacheEventDelay))) {
 				return
 			}
 			if e.cfg.CacheEventGap == 0 || ev.Seq%e.cfg.CacheEventGap != 0 {
--- a/internal/standin/engine_run.go
+++ b/internal/standin/engine_run.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"crocusglade.example/crocusglade/internal/ctxtime"
 	"crocusglade.example/crocusglade/internal/endpoint"
 	"crocusglade.example/crocusglade/internal/world"
 )
@@ -133,7 +134,7 @@
 	e.runPrefill(g, down)
 	perToken := e.perToken()
 	for i := g.from; i < g.end && g.ctx.Err() == nil; i++ {
-		if !sleep(g.ctx, perToken) {
+		if !ctxtime.Sleep(g.ctx, perToken) {
 			break
 		}
 		if e.crashDue(g, i-g.from) {
@@ -183,7 +184,7 @@
 	uncached := g.promptLen - e.cache.hits(g.blocks)*16
 	rate := e.cfg.PrefillRate * roleFactor(e.control.role, world.RolePrefill)
 	e.mu.Unlock()
-	sleep(g.ctx, time.Duration(float64(uncached)/rate*float64(time.Second)))
+	ctxtime.Sleep(g.ctx, time.Duration(float64(uncached)/rate*float64(time.Second)))
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if crashed(down) {
@@ -232,21 +233,6 @@
 	}
 }
 
-// sleep waits and tells whether the time has passed before ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // takeFaults returns the faults that apply to a new data stream.
 func (e *Engine) takeFaults(resumed bool) EngineFaults {
 	e.mu.Lock()
--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"crocusglade.example/crocusglade/internal/ctxtime"
 	"crocusglade.example/crocusglade/internal/membership"
 	"crocusglade.example/crocusglade/internal/world"
 )
@@ -359,7 +360,7 @@
 
 // settleClosed compares own counters of closed windows with the sealed figures until ctx ends.
 func (l *Ledger) settleClosed(ctx context.Context) {
-	for sleep(ctx, suspectFor) {
+	for ctxtime.Sleep(ctx, suspectFor) {
 		for _, window := range l.unsettled() {
 			readCtx, cancel := context.WithTimeout(ctx, settleTimeout)
 			sealed, err := l.o.Sealed(readCtx, window)
--- a/internal/usage/schedule_test.go
+++ b/internal/usage/schedule_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-faster/errors"
 
+	"crocusglade.example/crocusglade/internal/ctxtime"
 	"crocusglade.example/crocusglade/internal/history"
 	"crocusglade.example/crocusglade/internal/lease"
 	"crocusglade.example/crocusglade/internal/platform"
@@ -182,7 +183,7 @@
 // serve ends an answer every few seconds. An answer is whole when Record returned and the gateway was not killed before.
 func (s *schedule) serve(ctx context.Context, g *simGateway) {
 	random := s.random(callStream + uint64(g.number))
-	for sleep(ctx, time.Duration(20+random.IntN(700))*time.Millisecond) {
+	for ctxtime.Sleep(ctx, time.Duration(20+random.IntN(700))*time.Millisecond) {
 		g.gate.pass()
 		s.mu.Lock()
 		if s.stopped {
--- a/internal/usage/sealer.go
+++ b/internal/usage/sealer.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 
+	"crocusglade.example/crocusglade/internal/ctxtime"
 	"crocusglade.example/crocusglade/internal/lease"
 	"crocusglade.example/crocusglade/internal/platform"
 	"crocusglade.example/crocusglade/internal/platform/httpplatform"
@@ -56,25 +57,31 @@
 // Run seals and reports every window that has ended, until the authority ends. It fits lease.Keeper.Run.
 func (s *Sealer) Run(a *lease.Authority) {
 	var wait httpplatform.Backoff
+	// done is the last ended window of a pass without an error. A pass lists all windows, so it waits for the next one to end.
+	done := int64(-1)
 	for a.Valid() {
-		if err := s.pass(a); err != nil {
+		end := s.lastEnded()
+		if end <= done {
+			ctxtime.Sleep(a.Context(), collectEvery)
+			continue
+		}
+		if err := s.pass(a, end); err != nil {
 			_ = wait.Wait(a.Context()) // The loop's condition sees the end of the authority.
 			continue
 		}
 		wait.Reset()
-		_ = sleep(a.Context(), collectEvery)
+		done = end
 	}
 }
 
-// pass reports sealed windows that are not reported yet, then seals and reports what has ended since. A window that can't be
+// pass reports sealed windows that are not reported yet, then seals and reports what has ended since, up to the window end. A window that can't be
 // finished, such as one with a conflicting report, holds up no other window; the first error is returned.
-func (s *Sealer) pass(a *lease.Authority) error {
+func (s *Sealer) pass(a *lease.Authority, end int64) error {
 	sealed, _, err := s.Store.List(a.Context(), world.KindWindow)
 	if err != nil {
 		return errors.Wrap(err, "list sealed windows")
 	}
 	length := s.length()
-	end := time.Now().Unix()/length*length - length
 	next := end
 	var failed error
 	for _, o := range sealed {
@@ -99,6 +106,12 @@
 	return failed
 }
 
+// lastEnded returns the start of the last window that has ended.
+func (s *Sealer) lastEnded() int64 {
+	length := s.length()
+	return time.Now().Unix()/length*length - length
+}
+
 // firstUnsealed returns the start of the window after the newest sealed one. Windows are sealed in order.
 func (s *Sealer) firstUnsealed(sealed []world.Object) int64 {
 	var next int64
@@ -183,7 +196,7 @@
 		if err == nil && (len(missing) == 0 || tolerated) {
 			return answers, missing, nil
 		}
-		if !sleep(a.Context(), collectEvery) {
+		if !ctxtime.Sleep(a.Context(), collectEvery) {
 			return nil, nil, lease.ErrNoAuthority
 		}
 	}
@@ -317,15 +330,3 @@
 	}
 	return world.WindowLength
 }
-
-// sleep returns false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
