Let two gateways that restart together in an outage serve again

Cause: the run of all tests in a fresh clone failed in TestConfigurationNeverReverts. Since keyed work needs a ready gateway, a gateway that restarts in an outage waits for the three others; two that restarted waited for each other for ever. Before, the test passed because gateways served before they were ready. Change: a restarted gateway needs two ready others of four. Ruled out: serving before ready.

--- a/internal/peer/contact.go
+++ b/internal/peer/contact.go
@@ -125,12 +125,13 @@
 	return ctx.Err()
 }
 
-// loadMajority asks the VMs whose majority counts for their snapshots and puts the largest in force. It returns true only when a
-// majority answered with a configuration. This gateway itself does not count: it has lost its memory. Nor does a gateway that is
-// not ready.
+// loadMajority asks the VMs whose majority counts for their snapshots and puts the largest in force. It returns true only when enough
+// answered with a configuration to meet every majority that may have confirmed a change: 2 of 4, because at most one of the ready
+// gateways lacks what 3 have confirmed. This gateway itself does not count: it has lost its memory. Nor does a gateway that is not
+// ready. Asking for 3 would keep two gateways that restart together in an outage from ever serving again.
 func (m *Mesh) loadMajority(ctx context.Context) bool {
 	live := m.members.Live()
-	asked, need := m.members.Neighbours(), len(live)/2+1
+	asked, need := m.members.Neighbours(), len(live)-len(live)/2
 	if len(live) > membership.MaxNeighbours {
 		need = len(asked)/2 + 1
 	}
