Count terms of leases, reconciled claims and ejections

Change: terms of the orders duty, passes over open claims and ejections of endpoints are counted. Not wired yet: waiting and in-flight levels, relay streams, claim groups, orders by result.

--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -29,6 +29,8 @@
 	pools     map[string]*pool
 	endpoints map[string]*endpointState
 	index     cacheIndex
+	// onEject is called, under the lock, when an endpoint of a pool is ejected.
+	onEject func(pool string)
 	// pending holds the sends that neighbours have not been told of.
 	pending map[string]Send
 }
@@ -46,6 +48,10 @@
 	}
 }
 
+// OnEject registers a function that is called with the pool's name when an endpoint is ejected. It must not call the balancer.
+// Register before use.
+func (b *Balancer) OnEject(f func(pool string)) { b.onEject = f }
+
 // candidate is an endpoint with its predicted figures for one request.
 type candidate struct {
 	state     *endpointState
@@ -195,7 +201,9 @@
 		b.pending[c.state.Name] = ended
 	}
 	c.state.observe(o)
-	c.state.ejection.record(c.state.pool, o.Failed, c.probe, now)
+	if c.state.ejection.record(c.state.pool, o.Failed, c.probe, now) && b.onEject != nil {
+		b.onEject(c.state.pool.name)
+	}
 }
 
 // refusal tells why no endpoint can take the request: Overloaded when some could but are full, else Unavailable.
--- a/internal/balancer/eject.go
+++ b/internal/balancer/eject.go
@@ -33,8 +33,9 @@
 	return true
 }
 
-// record counts the outcome of a request. Outcomes of requests that were sent before the ejection do not change it.
-func (e *ejection) record(p *pool, failed, probe bool, now time.Time) {
+// record counts the outcome of a request and tells whether it ejected the endpoint. Outcomes of requests that were sent before the
+// ejection do not change it.
+func (e *ejection) record(p *pool, failed, probe bool, now time.Time) (ejected bool) {
 	if probe {
 		e.probing = false
 	}
@@ -49,8 +50,10 @@
 		e.failures++
 		if e.failures >= ejectAfter && p.mayEject() {
 			e.ejected, e.length, e.until = true, firstEjection, now.Add(firstEjection)
+			return true
 		}
 	}
+	return false
 }
 
 // mayEject tells whether one more endpoint may be ejected: at most half of the pool is, so that a fault of the callers'
--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -174,6 +174,7 @@
 
 func (c *controllerNode) orders(pool string) *duty.Orders {
 	return &duty.Orders{Pool: pool, Holder: c.holderName(), Store: c.platform, Fleet: c.fleet, Log: c.telemetry.Log, Rank: c.members.Rank,
+		OnTerm:      func(held bool) { c.countTerm(string(world.DutyOrders), held) },
 		NewProvider: func(a *lease.Authority) platform.Provider { return c.boundPlatform(a) },
 		NewPlanners: c.newPlanners}
 }
@@ -201,11 +202,32 @@
 	})
 }
 
+// countTerm counts the begin or the end of a term.
+func (c *controllerNode) countTerm(duty string, held bool) {
+	if held {
+		c.telemetry.Metrics.Lease.Taken(context.Background(), duty)
+		return
+	}
+	c.telemetry.Metrics.Lease.Lost(context.Background(), duty)
+}
+
+// countClaims counts what a pass over open claims did.
+func (c *controllerNode) countClaims(r claim.Report) {
+	ctx, m := context.Background(), c.telemetry.Metrics
+	m.Claim.Unresolved(ctx, r.Unresolved)
+	for range r.Done {
+		m.Claim.Reconciled(ctx, string(world.ClaimDone))
+	}
+	for range r.NotRun {
+		m.Claim.Reconciled(ctx, string(world.ClaimNotRun))
+	}
+}
+
 // sealWindows runs the sealer for one term.
 func (c *controllerNode) sealWindows(a *lease.Authority) {
 	metrics, ctx := c.telemetry.Metrics, context.Background()
-	metrics.Lease.Taken(ctx, string(world.DutyUsage))
-	defer metrics.Lease.Lost(ctx, string(world.DutyUsage))
+	c.countTerm(string(world.DutyUsage), true)
+	defer c.countTerm(string(world.DutyUsage), false)
 	sealer := &usage.Sealer{Store: c.platform, VMs: c.platform, Sink: c.boundPlatform(a), Collector: &windowCollector{c.node},
 		Holder: c.holderName(), WindowLength: int64(c.settings.WindowLength / time.Second),
 		OnSeal:   func(missing int) { metrics.Usage.Sealed(ctx, missing) },
@@ -219,7 +241,7 @@
 	r := claim.Reconciler{Store: store, Incarnations: &incarnations{c.node},
 		Endpoints: claim.EndpointAsker{Client: c.endpoints, Addr: c.fleet.address}}
 	return c.whileCandidate(ctx, string(world.DutyClaims), func(ctx context.Context) error {
-		return duty.RunClaims(ctx, c.platform, c.holderName(), c.members.Rank, r, c.telemetry.Log)
+		return duty.RunClaims(ctx, c.platform, c.holderName(), c.members.Rank, r, c.telemetry.Log, c.countClaims)
 	})
 }
 
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -96,6 +96,7 @@
 	g := &gatewayNode{node: base, admission: admission.New(), balancer: balancer.New(seed(base.incarnation)),
 		quarantine: retry.NewQuarantine(quarantineFor), burn: burn.NewRecorder(burn.DefaultObjective), demand: newDemandMeter()}
 	g.admission.SetSelf(s.VMName)
+	g.balancer.OnEject(func(pool string) { g.telemetry.Metrics.Retry.Ejected(context.Background(), pool) })
 	g.neighbours = newNeighbours(g.admission, g.balancer, g.quarantine)
 	g.neighbours.large = func() bool { return len(g.members.Live()) > membership.MaxNeighbours+1 }
 	g.holder.OnChange(g.configureAdmission)
--- a/internal/duty/deployment.go
+++ b/internal/duty/deployment.go
@@ -33,13 +33,18 @@
 	return k.Run(ctx, seal)
 }
 
-// RunClaims competes for the lease "claims" and reconciles open claims in each term until ctx ends.
-func RunClaims(ctx context.Context, store platform.Store, holder string, rank Rank, r claim.Reconciler, log zerolog.Logger) error {
+// RunClaims competes for the lease "claims" and reconciles open claims in each term until ctx ends. observe gets the report of
+// each pass.
+func RunClaims(ctx context.Context, store platform.Store, holder string, rank Rank, r claim.Reconciler, log zerolog.Logger,
+	observe func(claim.Report)) error {
 	k := lease.NewKeeper(lease.Options{Store: store, Name: string(world.DutyClaims), Holder: holder, Rank: rank.of(string(world.DutyClaims))})
 	return k.Run(ctx, func(a *lease.Authority) {
 		r.Authority = a.Valid
 		for a.Valid() {
 			report, err := r.Pass(a.Context())
+			if err == nil {
+				observe(report)
+			}
 			if err == nil && report.Done+report.NotRun > 0 {
 				log.Info().Int("done", report.Done).Int("not_run", report.NotRun).Int("unresolved", report.Unresolved).
 					Msg("claims reconciled")
--- a/internal/duty/orders.go
+++ b/internal/duty/orders.go
@@ -51,6 +51,8 @@
 	Log         zerolog.Logger
 	// Rank spreads the leases of pools over controllers; nil means that all try at once.
 	Rank Rank
+	// OnTerm, when not nil, is called with true when a term begins and with false when it ends.
+	OnTerm func(held bool)
 	// Control, when not nil, replaces the control protocol of engines; for tests.
 	Control order.Control
 	// Settle replaces the wait for gateways to learn of a drain; for tests. Zero means 5 s.
@@ -74,6 +76,10 @@
 		o.Log.Warn().Err(err).Str("pool", o.Pool).Msg("take-over of orders failed")
 		return
 	}
+	if o.OnTerm != nil {
+		o.OnTerm(true)
+		defer o.OnTerm(false)
+	}
 	var actions sync.WaitGroup
 	defer o.revokeLeadership(&actions)
 	planners, release := o.NewPlanners()
--- a/internal/e2e/metrics_test.go
+++ b/internal/e2e/metrics_test.go
@@ -78,6 +78,14 @@
 			}
 		}
 	}
+	for _, name := range []string{"admission_admitted_total", "choice_made_total"} {
+		if got := u.scrapeAll(true, name, ""); got < whole {
+			t.Errorf("%s is %v for %v whole answers of one team", name, got, whole)
+		}
+	}
+	if got := u.scrapeAll(false, "lease_held", `duty="orders"`); got != float64(len(u.pools)) {
+		t.Errorf("the orders of %v pools are held, want %d", got, len(u.pools))
+	}
 	if got := u.scrapeAll(false, "lease_held", `duty="usage"`); got != 1 {
 		t.Errorf("%v processes hold the usage lease", got)
 	}
