--- a/internal/duty/bed_test.go
+++ b/internal/duty/bed_test.go
@@ -400,7 +400,7 @@
 	b.procs = append(b.procs, p)
 	b.mu.Unlock()
 	started, rate := time.Now(), time.Duration(max(1, c.rate))
-	k := lease.NewKeeper(lease.Options{Store: procStore{p}, Name: "p.orders", Holder: name, TTL: lease.DefaultTTL * rate, Margin: lease.DefaultMargin * rate,
+	k := lease.NewElector(lease.Options{Store: procStore{p}, Name: "p.orders", Holder: name, TTL: lease.DefaultTTL * rate, Margin: lease.DefaultMargin * rate,
 		Wall: func() time.Time { return started.Add(time.Since(started) * rate) }})
 	go func() {
 		defer close(p.ended)
--- a/internal/duty/deployment.go
+++ b/internal/duty/deployment.go
@@ -19,7 +19,7 @@
 // Rank returns this process's place among those that may hold a lease, 0 first.
 type Rank func(leaseName string) int
 
-// of returns the rank for one lease, as the keeper wants it.
+// of returns the rank for one lease, as the elector wants it.
 func (r Rank) of(leaseName string) func() int {
 	if r == nil {
 		return nil
@@ -29,7 +29,7 @@
 
 // RunUsage competes for the lease "usage" and runs the sealer in each term until ctx ends.
 func RunUsage(ctx context.Context, store platform.Store, holder string, rank Rank, seal func(*lease.Authority)) error {
-	k := lease.NewKeeper(lease.Options{Store: store, Name: string(world.DutyUsage), Holder: holder, Rank: rank.of(string(world.DutyUsage))})
+	k := lease.NewElector(lease.Options{Store: store, Name: string(world.DutyUsage), Holder: holder, Rank: rank.of(string(world.DutyUsage))})
 	return k.Run(ctx, seal)
 }
 
@@ -37,7 +37,7 @@
 // each pass.
 func RunClaims(ctx context.Context, store platform.Store, holder string, rank Rank, r claim.Reconciler, log zerolog.Logger,
 	observe func(claim.Report)) error {
-	k := lease.NewKeeper(lease.Options{Store: store, Name: string(world.DutyClaims), Holder: holder, Rank: rank.of(string(world.DutyClaims))})
+	k := lease.NewElector(lease.Options{Store: store, Name: string(world.DutyClaims), Holder: holder, Rank: rank.of(string(world.DutyClaims))})
 	return k.Run(ctx, func(a *lease.Authority) {
 		r.Authority = a.Valid
 		for a.Valid() {
--- a/internal/duty/orders.go
+++ b/internal/duty/orders.go
@@ -65,7 +65,7 @@
 // Run competes for the lease until ctx ends.
 func (o *Orders) Run(ctx context.Context) error {
 	name := o.Pool + "." + string(world.DutyOrders)
-	k := lease.NewKeeper(lease.Options{Store: o.Store, Name: name, Holder: o.Holder, Rank: o.Rank.of(name)})
+	k := lease.NewElector(lease.Options{Store: o.Store, Name: name, Holder: o.Holder, Rank: o.Rank.of(name)})
 	return k.Run(ctx, o.lead)
 }
 
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -34,7 +34,7 @@
 	callTimeout = 1500 * time.Millisecond
 )
 
-// Options configures a Keeper. Zero durations take the defaults.
+// Options configures a Elector. Zero durations take the defaults.
 type Options struct {
 	Store platform.Store
 	// Name is the lease object's name, such as "<pool>.orders" or "usage".
@@ -49,8 +49,8 @@
 	Wall func() time.Time
 }
 
-// Keeper acquires, renews and releases one lease.
-type Keeper struct {
+// Elector acquires, renews and releases one lease.
+type Elector struct {
 	o Options
 
 	// version and value are the lease object as last read or written.
@@ -64,8 +64,8 @@
 	pending map[string]stamp
 }
 
-// NewKeeper returns a keeper. Run does the work.
-func NewKeeper(o Options) *Keeper {
+// NewElector returns an elector. Run does the work.
+func NewElector(o Options) *Elector {
 	if o.TTL <= 0 {
 		o.TTL = DefaultTTL
 	}
@@ -81,38 +81,38 @@
 	if o.Wall == nil {
 		o.Wall = time.Now
 	}
-	return &Keeper{o: o, pending: make(map[string]stamp)}
+	return &Elector{o: o, pending: make(map[string]stamp)}
 }
 
 // Run competes for the lease until ctx ends. For each term it calls lead, which must return soon after the authority's
 // context ends; the next term, or the release, waits for that. Platform errors are retried.
-func (k *Keeper) Run(ctx context.Context, lead func(*Authority)) error {
+func (e *Elector) Run(ctx context.Context, lead func(*Authority)) error {
 	for ctx.Err() == nil {
-		if a := k.acquire(ctx); a != nil {
-			k.hold(a, lead)
+		if a := e.acquire(ctx); a != nil {
+			e.hold(a, lead)
 		}
 		// The wait also follows a term, so that another candidate gets its turn when lead fails at once.
-		ctxtime.Sleep(ctx, k.o.TTL/pollsPerTTL)
+		ctxtime.Sleep(ctx, e.o.TTL/pollsPerTTL)
 	}
 	return ctx.Err()
 }
 
 // hold renews while lead runs, then releases the lease.
-func (k *Keeper) hold(a *Authority, lead func(*Authority)) {
+func (e *Elector) hold(a *Authority, lead func(*Authority)) {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		defer a.End()
 		lead(a)
 	}()
-	k.renewUntilEnd(a)
+	e.renewUntilEnd(a)
 	a.End()
 	<-done
-	k.release()
+	e.release()
 }
 
-func (k *Keeper) renewUntilEnd(a *Authority) {
-	next := time.Now().Add(k.o.RenewEvery)
+func (e *Elector) renewUntilEnd(a *Authority) {
+	next := time.Now().Add(e.o.RenewEvery)
 	for a.Valid() {
 		if !ctxtime.Sleep(a.Context(), min(clockCheckEvery, time.Until(next))) {
 			return
@@ -120,33 +120,33 @@
 		if time.Now().Before(next) {
 			continue
 		}
-		if lost := k.renew(a); lost {
+		if lost := e.renew(a); lost {
 			return
 		}
-		next = time.Now().Add(k.o.RenewEvery)
-		if len(k.pending) > 0 {
+		next = time.Now().Add(e.o.RenewEvery)
+		if len(e.pending) > 0 {
 			next = time.Now().Add(retryEvery)
 		}
 	}
 }
 
 // lifetime is how long the holder may act after sending a write that is confirmed later.
-func (k *Keeper) lifetime() time.Duration { return k.o.TTL - k.o.Margin }
+func (e *Elector) lifetime() time.Duration { return e.o.TTL - e.o.Margin }
 
 // acquire reads the lease and, if it is free or lapsed, tries to take it. It returns nil when this process is not holder.
-func (k *Keeper) acquire(ctx context.Context) *Authority {
-	if err := k.read(ctx); err != nil {
+func (e *Elector) acquire(ctx context.Context) *Authority {
+	if err := e.read(ctx); err != nil {
 		return nil
 	}
-	if !k.available() {
+	if !e.available() {
 		return nil
 	}
-	fence := k.value.Fence + 1
-	start, err := k.write(ctx, world.Lease{Holder: k.o.Holder, Fence: fence})
+	fence := e.value.Fence + 1
+	start, err := e.write(ctx, world.Lease{Holder: e.o.Holder, Fence: fence})
 	if err != nil {
 		return nil
 	}
-	a := newAuthority(ctx, fence, start, k.lifetime(), k.o.Wall)
+	a := newAuthority(ctx, fence, start, e.lifetime(), e.o.Wall)
 	if !a.Valid() {
 		return nil
 	}
@@ -155,97 +155,97 @@
 
 // available says whether a candidate may take the lease. A lease of this incarnation is left from a term whose lead has
 // returned, or from an acquisition whose answer was lost, so it may be taken again at once, with a new fencing number.
-func (k *Keeper) available() bool {
-	if k.version != 0 && k.value.Holder == k.o.Holder {
+func (e *Elector) available() bool {
+	if e.version != 0 && e.value.Holder == e.o.Holder {
 		return true
 	}
-	behind := time.Duration(k.o.Rank()) * rankDelay
-	if k.version == 0 || k.value.Holder == "" {
-		if k.free.IsZero() {
-			k.free = time.Now()
+	behind := time.Duration(e.o.Rank()) * rankDelay
+	if e.version == 0 || e.value.Holder == "" {
+		if e.free.IsZero() {
+			e.free = time.Now()
 		}
-		return time.Since(k.free) >= behind
+		return time.Since(e.free) >= behind
 	}
-	k.free = time.Time{}
-	ttl := max(k.o.TTL, time.Duration(k.value.TTLMS)*time.Millisecond)
-	return time.Since(k.seen) >= ttl+k.o.Margin+behind
+	e.free = time.Time{}
+	ttl := max(e.o.TTL, time.Duration(e.value.TTLMS)*time.Millisecond)
+	return time.Since(e.seen) >= ttl+e.o.Margin+behind
 }
 
 // read refreshes version and value.
-func (k *Keeper) read(ctx context.Context) error {
+func (e *Elector) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	o, err := k.o.Store.Get(ctx, world.KindLease, k.o.Name)
+	o, err := e.o.Store.Get(ctx, world.KindLease, e.o.Name)
 	if errors.Is(err, platform.ErrNotFound) {
-		return nil // The first write creates the object; k.version stays as it was, so an old read can't reset it.
+		return nil // The first write creates the object; e.version stays as it was, so an old read can't reset it.
 	}
 	if err != nil {
 		return errors.Wrap(err, "read lease")
 	}
-	if o.Version <= k.version {
+	if o.Version <= e.version {
 		return nil
 	}
 	var l world.Lease
 	if err := json.Unmarshal(o.Data, &l); err != nil {
-		return errors.Wrapf(err, "lease %s is not readable; remove the object once no controller runs", k.o.Name)
+		return errors.Wrapf(err, "lease %s is not readable; remove the object once no controller runs", e.o.Name)
 	}
-	k.version, k.value, k.seen = o.Version, l, time.Now()
+	e.version, e.value, e.seen = o.Version, l, time.Now()
 	return nil
 }
 
 // write sends one conditional update and finds out by its writer id whether it won, if its answer is lost. It returns
 // when the write was sent. After an error the outcome may be unknown; then the write stays in pending.
-func (k *Keeper) write(ctx context.Context, l world.Lease) (stamp, error) {
-	l.Writer, l.TTLMS, l.Renewal = uuid.NewString(), k.o.TTL.Milliseconds(), k.value.Renewal+1
+func (e *Elector) write(ctx context.Context, l world.Lease) (stamp, error) {
+	l.Writer, l.TTLMS, l.Renewal = uuid.NewString(), e.o.TTL.Milliseconds(), e.value.Renewal+1
 	data, err := json.Marshal(l)
 	if err != nil {
 		return stamp{}, errors.Wrap(err, "encode lease")
 	}
-	start := now(k.o.Wall)
+	start := now(e.o.Wall)
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	version, err := k.o.Store.Put(callCtx, world.KindLease, k.o.Name, data, k.version)
+	version, err := e.o.Store.Put(callCtx, world.KindLease, e.o.Name, data, e.version)
 	cancel()
 	if err == nil {
-		clear(k.pending)
-		k.version, k.value, k.seen = version, l, time.Now()
+		clear(e.pending)
+		e.version, e.value, e.seen = version, l, time.Now()
 		return start, nil
 	}
 	if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrThrottled) {
-		k.pending[l.Writer] = start
+		e.pending[l.Writer] = start
 	}
-	if readErr := k.read(ctx); readErr != nil {
+	if readErr := e.read(ctx); readErr != nil {
 		return stamp{}, readErr
 	}
-	if k.value.Writer == l.Writer {
-		clear(k.pending)
+	if e.value.Writer == l.Writer {
+		clear(e.pending)
 		return start, nil
 	}
 	return stamp{}, err
 }
 
 // renew extends a, and reports whether another process holds the lease.
-func (k *Keeper) renew(a *Authority) (lost bool) {
-	start, err := k.write(a.Context(), world.Lease{Holder: k.o.Holder, Fence: a.Fence()})
+func (e *Elector) renew(a *Authority) (lost bool) {
+	start, err := e.write(a.Context(), world.Lease{Holder: e.o.Holder, Fence: a.Fence()})
 	if err == nil {
-		return !a.extend(start, k.lifetime())
+		return !a.extend(start, e.lifetime())
 	}
-	if k.value.Holder != k.o.Holder || k.value.Fence != a.Fence() {
+	if e.value.Holder != e.o.Holder || e.value.Fence != a.Fence() {
 		return true
 	}
 	// An earlier write of unknown outcome may have won in the meantime. Its time counts from when it was sent.
-	if start, ok := k.pending[k.value.Writer]; ok {
-		clear(k.pending)
-		return !a.extend(start, k.lifetime())
+	if start, ok := e.pending[e.value.Writer]; ok {
+		clear(e.pending)
+		return !a.extend(start, e.lifetime())
 	}
 	return false
 }
 
 // release gives the lease up. If it fails the lease lapses.
-func (k *Keeper) release() {
-	if k.value.Holder != k.o.Holder {
+func (e *Elector) release() {
+	if e.value.Holder != e.o.Holder {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	_, _ = k.write(ctx, world.Lease{Fence: k.value.Fence})
+	_, _ = e.write(ctx, world.Lease{Fence: e.value.Fence})
 }
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -42,7 +42,7 @@
 	return f.Store.Put(ctx, kind, name, data, v)
 }
 
-// terms records the authorities of all keepers and fails when two are valid at once.
+// terms records the authorities of all electors and fails when two are valid at once.
 type terms struct {
 	mu  sync.Mutex
 	all []*Authority
@@ -78,7 +78,7 @@
 }
 
 func start(ctx context.Context, t *testing.T, s platform.Store, holder string, r *terms, wall func() time.Time) {
-	k := NewKeeper(Options{Store: s, Name: "p.orders", Holder: holder, Wall: wall})
+	k := NewElector(Options{Store: s, Name: "p.orders", Holder: holder, Wall: wall})
 	go func() { _ = k.Run(ctx, r.lead(t)) }()
 }
 
@@ -231,7 +231,7 @@
 		var done sync.WaitGroup
 		leads := make(chan string, 10)
 		run := func(ctx context.Context, holder string, rank int) {
-			k := NewKeeper(Options{Store: store, Name: "x", Holder: holder, Rank: func() int { return rank }})
+			k := NewElector(Options{Store: store, Name: "x", Holder: holder, Rank: func() int { return rank }})
 			done.Go(func() {
 				_ = k.Run(ctx, func(a *Authority) {
 					leads <- holder
--- a/internal/usage/schedule_test.go
+++ b/internal/usage/schedule_test.go
@@ -372,7 +372,7 @@
 func (s *schedule) runSealer(c *simSealer, name string) {
 	store := gatedStore{s.mem, &c.gate}
 	c.gate.also = &c.leaseGate
-	k := lease.NewKeeper(lease.Options{Store: gatedStore{s.mem, &c.leaseGate}, Name: "usage", Holder: name})
+	k := lease.NewElector(lease.Options{Store: gatedStore{s.mem, &c.leaseGate}, Name: "usage", Holder: name})
 	s.work.Go(func() { _ = k.Run(s.ctx, func(a *lease.Authority) { s.seal(c, store, name, a) }) })
 }
 
--- a/internal/usage/sealer.go
+++ b/internal/usage/sealer.go
@@ -54,7 +54,7 @@
 	OnReport func(accepted bool)
 }
 
-// Run seals and reports every window that has ended, until the authority ends. It fits lease.Keeper.Run.
+// Run seals and reports every window that has ended, until the authority ends. It fits lease.Elector.Run.
 func (s *Sealer) Run(a *lease.Authority) {
 	var wait httpplatform.Backoff
 	// done is the last ended window of a pass without an error. A pass lists all windows, so it waits for the next one to end.
