--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -19,20 +19,7 @@
 
 // newApply returns the command that writes files to the server. It checks all files before it writes anything.
 func newApply(e *env) subcommands.Command {
-	var files fileList
-	return &command{env: e, name: "apply", operands: "FILE...", flags: files.bind,
-		synopsis: "create and update the objects in YAML files; a pool without a drained list keeps the server's",
-		run: func(ctx context.Context, args []string) error {
-			documents, err := readFiles(append(files, args...))
-			if err != nil {
-				return err
-			}
-			client, err := e.client()
-			if err != nil {
-				return err
-			}
-			return applyAll(ctx, e, client, documents)
-		}}
+	return newFileCommand(e, "apply", "create and update the objects in YAML files; a pool without a drained list keeps the server's", applyAll)
 }
 
 func applyAll(ctx context.Context, e *env, client *Client, documents []document) error {
--- a/internal/ctl/diff.go
+++ b/internal/ctl/diff.go
@@ -18,20 +18,7 @@
 
 // newDiff returns the command that shows what apply would change.
 func newDiff(e *env) subcommands.Command {
-	var files fileList
-	return &command{env: e, name: "diff", operands: "FILE...", flags: files.bind,
-		synopsis: "show what apply would change; exit code 3 when there are differences",
-		run: func(ctx context.Context, args []string) error {
-			documents, err := readFiles(append(files, args...))
-			if err != nil {
-				return err
-			}
-			client, err := e.client()
-			if err != nil {
-				return err
-			}
-			return diffAll(ctx, e, client, documents)
-		}}
+	return newFileCommand(e, "diff", "show what apply would change; exit code 3 when there are differences", diffAll)
 }
 
 func diffAll(ctx context.Context, e *env, client *Client, documents []document) error {
