Start no timer that is due at once in virtual time

The test crashed in 5 of 480 runs here. The tests' own code was ruled out.

Change: tests in virtual time use internal/memnet, a listener over net.Pipe, in place of bufconn; timers whose wait is computed are at least one nanosecond (ctxtime.AtLeast). Turning off the race detector for these tests was ruled out: it would weaken them.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"crocusglade.example/crocusglade/internal/apierror"
+	"crocusglade.example/crocusglade/internal/ctxtime"
 	"crocusglade.example/crocusglade/internal/world"
 )
 
@@ -132,7 +133,7 @@
 	if latest := r.latest(); !latest.IsZero() {
 		limit = min(limit, time.Until(latest))
 	}
-	timer := time.NewTimer(limit)
+	timer := time.NewTimer(ctxtime.AtLeast(limit))
 	defer timer.Stop()
 	select {
 	case <-w.ready:
--- a/internal/config/relay_test.go
+++ b/internal/config/relay_test.go
@@ -11,9 +11,9 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
-	"google.golang.org/grpc/test/bufconn"
 	"pgregory.net/rapid"
 
+	"crocusglade.example/crocusglade/internal/memnet"
 	"crocusglade.example/crocusglade/internal/peer/peerpb"
 	"crocusglade.example/crocusglade/internal/platform/memplatform"
 	"crocusglade.example/crocusglade/internal/world"
@@ -27,7 +27,7 @@
 	relay     *Relay
 	frozen    bool
 	calls     int
-	listener  *bufconn.Listener
+	listener  *memnet.Listener
 }
 
 func (n *node) Subscribe(r *peerpb.ConfigRequest, s grpc.ServerStreamingServer[peerpb.ConfigUpdate]) error {
@@ -40,7 +40,7 @@
 }
 
 func startNode(t *testing.T) *node {
-	n := &node{holder: NewHolder(), listener: bufconn.Listen(1 << 16)}
+	n := &node{holder: NewHolder(), listener: memnet.Listen()}
 	n.relay = NewRelay(n.holder, &n.freshness)
 	server := grpc.NewServer()
 	peerpb.RegisterConfigServer(server, n)
@@ -63,7 +63,7 @@
 	s := NewSubscriber("self", "gateway", h, f, func() []world.VM { return vms }, func(vm world.VM) (grpc.ClientConnInterface, func(), error) {
 		conn, err := grpc.NewClient("passthrough:///"+vm.Name, grpc.WithTransportCredentials(insecure.NewCredentials()),
 			grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) {
-				return byName[vm.Name].listener.DialContext(ctx)
+				return byName[vm.Name].listener.Dial(ctx)
 			}))
 		return conn, func() { conn.Close() }, err
 	})
--- a/internal/controller/admin/write.go
+++ b/internal/controller/admin/write.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"crocusglade.example/crocusglade/internal/apierror"
+	"crocusglade.example/crocusglade/internal/ctxtime"
 	"crocusglade.example/crocusglade/internal/peer/peerpb"
 	"crocusglade.example/crocusglade/internal/platform"
 	"crocusglade.example/crocusglade/internal/world"
@@ -40,7 +41,7 @@
 		case err == nil:
 			return version, nil
 		case lost(err):
-			wait(ctx, lostPause)
+			ctxtime.Sleep(ctx, lostPause)
 			continue
 		case try == 0 || !errors.Is(err, platform.ErrConflict):
 			return 0, s.explain(ctx, kind, name, err)
@@ -63,13 +64,6 @@
 	lostPause = 200 * time.Millisecond
 )
 
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 func sameJSON(a, b []byte) bool {
 	var x, y bytes.Buffer
 	return json.Compact(&x, a) == nil && json.Compact(&y, b) == nil && bytes.Equal(x.Bytes(), y.Bytes())
@@ -80,7 +74,7 @@
 	for try := range lostTries {
 		err := s.Store.Delete(ctx, kind, name, expected)
 		if lost(err) {
-			wait(ctx, lostPause)
+			ctxtime.Sleep(ctx, lostPause)
 			continue
 		}
 		if try > 0 && errors.Is(err, platform.ErrNotFound) {
--- a/internal/controller/load_test.go
+++ b/internal/controller/load_test.go
@@ -13,11 +13,11 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
-	"google.golang.org/grpc/test/bufconn"
 
 	"crocusglade.example/crocusglade/internal/balancer"
 	"crocusglade.example/crocusglade/internal/config"
 	"crocusglade.example/crocusglade/internal/membership"
+	"crocusglade.example/crocusglade/internal/memnet"
 	"crocusglade.example/crocusglade/internal/peer/peerpb"
 	"crocusglade.example/crocusglade/internal/platform/memplatform"
 	"crocusglade.example/crocusglade/internal/world"
@@ -105,14 +105,14 @@
 			vms = append(vms, world.VM{Name: fmt.Sprintf("vm-%d", i), State: world.VMLive})
 		}
 		p.SetVMs(vms)
-		listeners := map[string]*bufconn.Listener{}
+		listeners := map[string]*memnet.Listener{}
 		for _, vm := range vms {
-			listeners[vm.Name] = bufconn.Listen(1 << 16)
+			listeners[vm.Name] = memnet.Listen()
 		}
 		dial := func(vm world.VM) (grpc.ClientConnInterface, func(), error) {
 			l := listeners[vm.Name]
 			conn, err := grpc.NewClient("passthrough:///"+vm.Name, grpc.WithTransportCredentials(insecure.NewCredentials()),
-				grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) { return l.DialContext(ctx) }))
+				grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) { return l.Dial(ctx) }))
 			return conn, func() { conn.Close() }, err
 		}
 		ctx, cancel := context.WithCancel(context.Background())
--- a/internal/lease/authority.go
+++ b/internal/lease/authority.go
@@ -9,6 +9,8 @@
 
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
+
+	"crocusglade.example/crocusglade/internal/ctxtime"
 )
 
 // ErrNoAuthority is returned by writes on a connection whose authority has ended. Nothing of the write was sent.
@@ -53,7 +55,7 @@
 	defer a.mu.Unlock()
 	a.ctx, a.cancel = context.WithCancel(ctx)
 	a.monoDeadline, a.wallDeadline = start.mono.Add(lifetime), start.wall.Add(lifetime)
-	a.timer = time.AfterFunc(time.Until(a.monoDeadline), func() { a.Valid() })
+	a.timer = time.AfterFunc(ctxtime.AtLeast(time.Until(a.monoDeadline)), func() { a.Valid() })
 	return a
 }
 
@@ -92,7 +94,7 @@
 	}
 	if mono := start.mono.Add(lifetime); mono.After(a.monoDeadline) {
 		a.monoDeadline, a.wallDeadline = mono, start.wall.Add(lifetime)
-		a.timer.Reset(time.Until(mono))
+		a.timer.Reset(ctxtime.AtLeast(time.Until(mono)))
 	}
 	return a.validLocked()
 }
--- a/internal/measure/baseline_test.go
+++ b/internal/measure/baseline_test.go
@@ -10,6 +10,7 @@
 	"crocusglade.example/crocusglade/internal/admission"
 	"crocusglade.example/crocusglade/internal/apierror"
 	"crocusglade.example/crocusglade/internal/balancer"
+	"crocusglade.example/crocusglade/internal/ctxtime"
 )
 
 // placement is a chosen endpoint.
@@ -171,7 +172,7 @@
 	f.waiting[r.Pool] = append(f.waiting[r.Pool], ready)
 	f.dispatch(r.Pool)
 	f.mu.Unlock()
-	timer := time.NewTimer(time.Until(r.Deadline))
+	timer := time.NewTimer(ctxtime.AtLeast(time.Until(r.Deadline)))
 	defer timer.Stop()
 	var err error
 	select {
--- a/internal/measure/engine_test.go
+++ b/internal/measure/engine_test.go
@@ -11,6 +11,7 @@
 
 	"crocusglade.example/crocusglade/internal/admission"
 	"crocusglade.example/crocusglade/internal/balancer"
+	"crocusglade.example/crocusglade/internal/ctxtime"
 	"crocusglade.example/crocusglade/internal/world"
 )
 
@@ -285,7 +286,7 @@
 
 // pause sleeps unless the context ends or the engine dies.
 func pause(ctx context.Context, died <-chan struct{}, d time.Duration) error {
-	t := time.NewTimer(d)
+	t := time.NewTimer(ctxtime.AtLeast(d))
 	defer t.Stop()
 	select {
 	case <-t.C:
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -11,11 +11,11 @@
 	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/test/bufconn"
 
 	"crocusglade.example/crocusglade/internal/balancer"
 	"crocusglade.example/crocusglade/internal/config"
 	"crocusglade.example/crocusglade/internal/membership"
+	"crocusglade.example/crocusglade/internal/memnet"
 	"crocusglade.example/crocusglade/internal/peer/peerpb"
 	"crocusglade.example/crocusglade/internal/platform/memplatform"
 	"crocusglade.example/crocusglade/internal/world"
@@ -90,7 +90,7 @@
 // cluster is n gateways that reach each other in memory.
 type cluster struct {
 	gateways  []*gateway
-	listeners map[string]*bufconn.Listener
+	listeners map[string]*memnet.Listener
 	mu        sync.Mutex
 	cut       map[string]bool
 	conns     []net.Conn
@@ -107,13 +107,13 @@
 }
 
 func startCluster(t *testing.T, n int) *cluster {
-	c := &cluster{listeners: map[string]*bufconn.Listener{}, cut: map[string]bool{}}
+	c := &cluster{listeners: map[string]*memnet.Listener{}, cut: map[string]bool{}}
 	p := memplatform.New()
 	var vms []world.VM
 	for i := range n {
 		name := fmt.Sprintf("vm-%d", i)
 		vms = append(vms, world.VM{Name: name, FailureDomain: fmt.Sprintf("d%d", i%3), State: world.VMLive, GatewayPeerAddr: name})
-		c.listeners[name] = bufconn.Listen(1 << 16)
+		c.listeners[name] = memnet.Listen()
 	}
 	p.SetVMs(vms)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -135,7 +135,7 @@
 		if c.cut[addr] || c.cut[vm.Name] {
 			return nil, net.ErrClosed
 		}
-		conn, err := c.listeners[addr].DialContext(ctx)
+		conn, err := c.listeners[addr].Dial(ctx)
 		c.conns = append(c.conns, conn)
 		return conn, err
 	}))
--- a/internal/platform/httpplatform/backoff.go
+++ b/internal/platform/httpplatform/backoff.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"crocusglade.example/crocusglade/internal/ctxtime"
 )
 
 // Default bounds of Backoff.
@@ -53,12 +55,8 @@
 
 // Wait sleeps for the next wait, or returns the context's error when ctx ends first.
 func (b *Backoff) Wait(ctx context.Context) error {
-	t := time.NewTimer(b.Next())
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
+	if !ctxtime.Sleep(ctx, b.Next()) {
 		return ctx.Err()
-	case <-t.C:
-		return nil
 	}
+	return nil
 }
