Divide teams' limits over a fleet whose gateways are not all neighbours

Cause: admission shares a team's limits among the gateways whose demand it knows, which are at most 8 neighbours.

Change: in a fleet of more than 9 VMs one gateway, the first by rendezvous hashing of the team, divides the limits. The others report their demand to it and get shares that end after 6 s; the shares in force never add up to more than the limit. Ruled out by trial: a part by demand averaged over 0.7 s (63% to 98% of the limit used, since a gateway sees two requests a second and its demand jumps with each), all that nobody needs handed out (a gateway that starts waits seconds for a share), reports of each second with shares kept until they end (56% in the 10 s after demand had moved), an estimate scaled up from 8 neighbours (wrong by the whole limit for a team at a few gateways; by reasoning, not run). The exchange between neighbours no longer carries demand in such a fleet.

TestSharesNeverExceedLimits finds shares of 1.24 times the limit when the shares of others are not subtracted; TestDividerServesNewcomers found that a kind without a limit kept all gateways short. Messages with processes were not measured.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -47,6 +47,8 @@
 	teams map[string]*team
 	pools map[string]*pool
 	peers map[string]map[string]Demand
+	// fleet is the number of gateways in a large fleet, whose shares a Divider gives; 0 while all gateways are neighbours.
+	fleet int
 }
 
 // New returns a queue with no teams and no pools.
@@ -81,7 +83,8 @@
 func (q *Queue) team(name string) *team {
 	t := q.teams[name]
 	if t == nil {
-		t = &team{name: name, weight: 1, share: 1 / float64(len(q.peers)+1)}
+		t = &team{name: name, weight: 1, share: 1 / float64(len(q.peers)+1), demand: demandMeter{over: demandTime},
+			longDemand: demandMeter{over: fleetDemandTime}}
 		for _, demand := range q.peers {
 			t.addPeer(demand[name], 1)
 		}
@@ -165,6 +168,7 @@
 		q.pools[r.Pool] = p
 	}
 	t.demand.add(now, r.Tokens)
+	t.longDemand.add(now, r.Tokens)
 	if err := q.checkLimits(t, r.Tokens, now); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/admission/divider_test.go
@@ -0,0 +1,107 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+// Guards against shares in force that add up to more than a team's limits, in any order of reports and of gateways that fall silent.
+func TestSharesNeverExceedLimits(t *testing.T) {
+	for seed := range uint64(300) {
+		synctest.Test(t, func(t *testing.T) { checkSharesInForce(t, rand.New(rand.NewPCG(seed, 1))) })
+	}
+}
+
+func checkSharesInForce(t *testing.T, rng *rand.Rand) {
+	limits := world.Limits{TokensPerSecond: 1000, RequestsPerSecond: 50, Concurrent: 7}
+	d := NewDivider()
+	d.SetTeams(map[string]TeamConfig{"a": {Limits: limits}})
+	inForce, until := make(map[string]Share), make(map[string]time.Time)
+	for range 60 {
+		time.Sleep(time.Duration(rng.IntN(1500)) * time.Millisecond)
+		gateway := fmt.Sprint("vm", rng.IntN(12))
+		demand := Demand{TokensPerSecond: 1 + 900*rng.Float64(), RequestsPerSecond: 1 + 40*rng.Float64(),
+			Concurrent: rng.IntN(inForce[gateway].Concurrent + 1)}
+		inForce[gateway] = d.Divide(gateway, map[string]Demand{"a": demand})["a"]
+		until[gateway] = time.Now().Add(shareLife)
+		var sum Share
+		for name, s := range inForce {
+			if time.Now().After(until[name]) {
+				delete(inForce, name)
+				continue
+			}
+			sum.Tokens += s.Tokens
+			sum.Requests += s.Requests
+			sum.Concurrent += s.Concurrent
+		}
+		const rounding = 1e-9
+		if sum.Tokens > 1+rounding || sum.Requests > 1+rounding || sum.Concurrent > limits.Concurrent {
+			t.Fatalf("shares add up to %+v", sum)
+		}
+	}
+}
+
+// Guards against gateways that stay without a share while a team is far below its limits, and against a share that is not given back.
+func TestDividerServesNewcomers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := NewDivider()
+		d.SetTeams(map[string]TeamConfig{"a": {Limits: world.Limits{TokensPerSecond: 1000, Concurrent: 4}}})
+		for round := range 4 {
+			for i := range 3 {
+				s := d.Divide(fmt.Sprint("vm", i), map[string]Demand{"a": {TokensPerSecond: 100}})["a"]
+				if round > 1 && (s.Tokens < 0.2 || s.Concurrent < 1 || s.Short) {
+					t.Errorf("round %d, gateway %d: %+v", round, i, s)
+				}
+			}
+			time.Sleep(reportNormal)
+		}
+		for i := range 2 {
+			d.Divide(fmt.Sprint("vm", i), map[string]Demand{"a": {}})
+		}
+		if s := d.Divide("vm2", map[string]Demand{"a": {TokensPerSecond: 900, Concurrent: 1}})["a"]; s.Tokens < 0.9 || s.Concurrent < 2 {
+			t.Errorf("after the others have left: %+v", s)
+		}
+		if s := d.Divide("vm2", map[string]Demand{"unknown": {TokensPerSecond: 900}}); len(s) != 0 {
+			t.Errorf("shares of an unknown team: %v", s)
+		}
+	})
+}
+
+// Guards against a gateway that uses its share after the divider has given it to others.
+func TestSharesEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := New()
+		q.SetTeams(map[string]TeamConfig{"a": {Limits: world.Limits{Concurrent: 40}}})
+		q.SetFleet(20)
+		running := func() (n int) {
+			var held []*Ticket
+			for {
+				ticket, err := q.Acquire(t.Context(), Request{Team: "a", Pool: "p", Tokens: 1})
+				if err != nil {
+					break
+				}
+				held = append(held, ticket)
+			}
+			for _, ticket := range held {
+				ticket.Release(1)
+			}
+			return len(held)
+		}
+		if n := running(); n != 1 {
+			t.Errorf("%d requests without a share", n)
+		}
+		q.SetShares(map[string]Share{"a": {Concurrent: 9}}, time.Now())
+		if n := running(); n != 9 {
+			t.Errorf("%d requests with a share of 9", n)
+		}
+		time.Sleep(shareLife)
+		if n := running(); n != 1 {
+			t.Errorf("%d requests after the share has ended", n)
+		}
+	})
+}
--- a/internal/admission/limits.go
+++ b/internal/admission/limits.go
@@ -6,14 +6,20 @@
 	"time"
 
 	"crocusglade.example/crocusglade/internal/apierror"
+	"crocusglade.example/crocusglade/internal/world"
 )
 
 const (
 	// demandTime is the averaging time of demand. With 2 s, a fifth of a limit was left unused for 10 s after demand had moved
 	// to another gateway; 1 s still left more than a tenth.
 	demandTime = 700 * time.Millisecond
+	// fleetDemandTime is the averaging time of demand in a large fleet, where a gateway sees so few requests of a team that a shorter
+	// average jumps with each of them.
+	fleetDemandTime = 2500 * time.Millisecond
 	// burstTime is the time's worth of a limit that a team may use at once.
 	burstTime = 500 * time.Millisecond
+	// fleetBurstTime is the same in a large fleet, where a gateway's share of a limit is less than one request in burstTime.
+	fleetBurstTime = 2 * time.Second
 	// shareTime is the time over which a gateway's share of a limit grows after a rise of its own demand. Gateways whose
 	// demand rises together would else all count on the whole limit until they hear of each other.
 	shareTime = 250 * time.Millisecond
@@ -61,7 +67,7 @@
 	now := time.Now()
 	out := make(map[string]Demand)
 	for name, t := range q.teams {
-		tokens, requests := t.demand.at(now)
+		tokens, requests := t.offered(now, q.fleet > 0)
 		d := Demand{TokensPerSecond: tokens, RequestsPerSecond: requests, Concurrent: t.running + t.waiting}
 		if d.Concurrent > 0 || d.RequestsPerSecond > minDemand {
 			out[name] = d
@@ -70,19 +76,44 @@
 	return out
 }
 
+// offered returns a team's demand at this gateway. In a large fleet that is the long average, unless the short one shows that demand has
+// risen, or a long time without a request that it has gone.
+func (t *team) offered(now time.Time, large bool) (tokens, requests float64) {
+	tokens, requests = t.demand.at(now)
+	if !large {
+		return tokens, requests
+	}
+	longTokens, longRequests := t.longDemand.at(now)
+	if requests > risen*longRequests {
+		return tokens, requests
+	}
+	if now.Sub(t.longDemand.last).Seconds()*t.longDemand.requests > missing {
+		return 0, 0
+	}
+	return longTokens, longRequests
+}
+
+const (
+	// risen is the factor by which the short average of demand exceeds the long one when demand has risen rather than varied.
+	risen = 2.5
+	// missing is the number of requests that a gateway would have seen if demand had not gone; the chance of that is 7%.
+	missing = 2.6
+)
+
 // minDemand in requests a second is the demand below which a team counts as idle.
 const minDemand = 0.01
 
 // demandMeter is a moving average of offered requests, refused ones included.
 type demandMeter struct {
+	over             time.Duration
 	last             time.Time
 	tokens, requests float64 // per second at last
 }
 
 func (d *demandMeter) add(now time.Time, tokens int) {
 	d.tokens, d.requests = d.at(now)
-	d.tokens += float64(tokens) / demandTime.Seconds()
-	d.requests += 1 / demandTime.Seconds()
+	d.tokens += float64(tokens) / d.over.Seconds()
+	d.requests += 1 / d.over.Seconds()
 	d.last = now
 }
 
@@ -90,7 +121,7 @@
 	if d.last.IsZero() {
 		return 0, 0
 	}
-	decay := math.Exp(-now.Sub(d.last).Seconds() / demandTime.Seconds())
+	decay := math.Exp(-now.Sub(d.last).Seconds() / d.over.Seconds())
 	return d.tokens * decay, d.requests * decay
 }
 
@@ -101,8 +132,8 @@
 	last  time.Time
 }
 
-func (b *bucket) refill(now time.Time, rate float64) {
-	depth := max(1, rate*burstTime.Seconds())
+func (b *bucket) refill(now time.Time, rate float64, burst time.Duration) {
+	depth := max(1, rate*burst.Seconds())
 	if b.last.IsZero() {
 		b.level, b.last = depth, now
 		return
@@ -111,22 +142,31 @@
 	b.last = now
 }
 
+func (q *Queue) burst() time.Duration {
+	if q.fleet > 0 {
+		return fleetBurstTime
+	}
+	return burstTime
+}
+
 // team is the state of one team at this gateway.
 type team struct {
-	name    string
-	weight  float64
-	config  TeamConfig
-	running int
-	waiting int
-	demand  demandMeter
-	peers   Demand // sum over neighbours
-	share   float64
-	shareAt time.Time
+	name       string
+	weight     float64
+	config     TeamConfig
+	running    int
+	waiting    int
+	demand     demandMeter
+	longDemand demandMeter
+	peers      Demand // sum over neighbours
+	share      float64
+	shareAt    time.Time
 	// concurrent is this gateway's part of the limit of concurrent requests at concurrentAt.
 	concurrent   float64
 	concurrentAt time.Time
 	tokens       bucket
 	requests     bucket
+	granted      granted
 }
 
 func (t *team) configure(c TeamConfig) {
@@ -183,27 +223,40 @@
 	if limits.TokensPerSecond <= 0 && limits.RequestsPerSecond <= 0 && limits.Concurrent <= 0 {
 		return nil
 	}
-	t.updateShare(now, len(q.peers)+1)
+	share := q.share(t, limits, now)
 	if limits.TokensPerSecond > 0 {
-		rate := limits.TokensPerSecond * t.share
-		t.tokens.refill(now, rate)
+		rate := limits.TokensPerSecond * share.Tokens
+		t.tokens.refill(now, rate, q.burst())
 		if t.tokens.level <= 0 {
 			return limitError(t, "tokens", -t.tokens.level/rate)
 		}
 	}
 	if limits.RequestsPerSecond > 0 {
-		rate := limits.RequestsPerSecond * t.share
-		t.requests.refill(now, rate)
+		rate := limits.RequestsPerSecond * share.Requests
+		t.requests.refill(now, rate, q.burst())
 		if t.requests.level <= 0 {
 			return limitError(t, "requests", -t.requests.level/rate)
 		}
 	}
-	if limits.Concurrent > 0 && t.running+t.waiting >= q.concurrentShare(t, limits.Concurrent, now) {
+	if limits.Concurrent > 0 && t.running+t.waiting >= share.Concurrent {
 		return limitError(t, "concurrent requests", 0)
 	}
 	return nil
 }
 
+// share returns what this gateway may use of a team's limits.
+func (q *Queue) share(t *team, limits world.Limits, now time.Time) Share {
+	if q.fleet > 0 {
+		return q.grantedShare(t, now)
+	}
+	t.updateShare(now, len(q.peers)+1)
+	share := Share{Tokens: t.share, Requests: t.share}
+	if limits.Concurrent > 0 {
+		share.Concurrent = q.concurrentShare(t, limits.Concurrent, now)
+	}
+	return share
+}
+
 // concurrentShare returns how many requests of a team this gateway may have: its part by demand, which it reaches over
 // concurrentTime when that is above an even division, since gateways that start together do not know of each other yet.
 func (q *Queue) concurrentShare(t *team, limit int, now time.Time) int {
@@ -287,6 +340,9 @@
 func limitError(t *team, what string, wait float64) *apierror.Error {
 	e := apierror.New(apierror.RateLimited, "send less, retry after the stated time, or ask the operators for a higher limit",
 		"team %s is over its limit of %s", t.name, what)
-	e.RetryAfterSeconds = int(min(wait, maxReported.Seconds())) + 1
+	if math.IsNaN(wait) || wait > maxReported.Seconds() {
+		wait = maxReported.Seconds()
+	}
+	e.RetryAfterSeconds = int(wait) + 1
 	return e
 }
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -19,7 +19,6 @@
 	"crocusglade.example/crocusglade/internal/controller"
 	"crocusglade.example/crocusglade/internal/endpoint"
 	"crocusglade.example/crocusglade/internal/gateway"
-	"crocusglade.example/crocusglade/internal/membership"
 	"crocusglade.example/crocusglade/internal/peer"
 	"crocusglade.example/crocusglade/internal/peer/peerpb"
 	"crocusglade.example/crocusglade/internal/retry"
@@ -45,18 +44,19 @@
 // gatewayNode is a gateway with its connections to the rest of the system.
 type gatewayNode struct {
 	*node
-	gateway    *gateway.Gateway
-	admission  *admission.Queue
-	balancer   *balancer.Balancer
-	quarantine *retry.Quarantine
-	ledger     *usage.Ledger
-	burn       *burn.Recorder
-	subscriber *config.Subscriber
-	mesh       *peer.Mesh
-	readiness  *peer.Readiness
-	neighbours *neighbours
-	entry      *entry
-	demand     *demandMeter
+	gateway     *gateway.Gateway
+	admission   *admission.Queue
+	balancer    *balancer.Balancer
+	quarantine  *retry.Quarantine
+	ledger      *usage.Ledger
+	burn        *burn.Recorder
+	subscriber  *config.Subscriber
+	mesh        *peer.Mesh
+	readiness   *peer.Readiness
+	neighbours  *neighbours
+	entry       *entry
+	demand      *demandMeter
+	limitShares *limitShares
 }
 
 // GatewayParts constructs the parts of a gateway.
@@ -82,6 +82,7 @@
 		Part{Name: "load", Run: loads.Run},
 		Part{Name: "usage", Run: g.ledger.Run},
 		Part{Name: "capacity", Run: g.keepCapacity},
+		Part{Name: "limits", Run: g.limitShares.run},
 		Part{Name: "moves", Run: g.gateway.RunMoves},
 		Part{Name: "health check", Run: g.watchReadiness},
 		g.peerServer(func(r *grpc.Server) { peerpb.RegisterGatewayServer(r, g.peerService()) }),
@@ -98,7 +99,8 @@
 	g.admission.SetSelf(s.VMName)
 	g.balancer.OnEject(func(pool string) { g.telemetry.Metrics.Retry.Ejected(context.Background(), pool) })
 	g.neighbours = newNeighbours(g.admission, g.balancer, g.quarantine)
-	g.neighbours.large = func() bool { return len(g.members.Live()) > membership.MaxNeighbours+1 }
+	g.neighbours.large = base.largeFleet
+	g.limitShares = newLimitShares(base, g.admission)
 	g.holder.OnChange(g.configureAdmission)
 	g.mesh = peer.NewMesh(s.VMName, g.incarnation, g.members, g.clients, g.holder, g.freshness, g.neighbours, g.neighbours)
 	g.subscriber = config.NewSubscriber(s.VMName, "gateway", g.holder, g.freshness, g.members.Parents, g.clients.DialController)
@@ -158,7 +160,7 @@
 		teams[name] = admission.TeamConfig{Weight: t.Weight, Limits: limits}
 	}
 	g.admission.SetTeams(teams)
-	g.neighbours.setLimits(teams)
+	g.limitShares.setTeams(teams)
 }
 
 // keepCapacity tells admission what this gateway may use of each pool.
--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -34,7 +34,6 @@
 	large func() bool
 
 	mu     sync.Mutex
-	limits map[string]world.Limits
 	deaths []peer.Death
 	demand map[string]map[string]admission.Demand
 }
@@ -43,41 +42,14 @@
 	return &neighbours{admission: a, balancer: b, quarantine: q, demand: make(map[string]map[string]admission.Demand)}
 }
 
-// untoldShare is the part of a team's limit that all gateways together may use without telling each other. Limits are held within 10%.
-const untoldShare = 0.05
-
-// setLimits sets the limits in force.
-func (n *neighbours) setLimits(teams map[string]admission.TeamConfig) {
-	limits := make(map[string]world.Limits, len(teams))
-	for name, t := range teams {
-		limits[name] = t.Limits
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.limits = limits
-}
-
-// matters tells whether neighbours need a demand in a large fleet: limits are shared by demand, and a team without limits, or far below them, gets what it
-// asks for anywhere.
-func (n *neighbours) matters(d admission.Demand, l world.Limits, gateways int) bool {
-	near := func(demand, limit float64) bool { return limit > 0 && demand*float64(gateways) > limit*untoldShare }
-	return near(d.TokensPerSecond, l.TokensPerSecond) || near(d.RequestsPerSecond, l.RequestsPerSecond) ||
-		near(float64(d.Concurrent), float64(l.Concurrent))
-}
-
-// PeerDemand implements peer.Local.
+// PeerDemand implements peer.Local. In a large fleet limits are divided without the exchange; see limitShares.
 func (n *neighbours) PeerDemand() map[string]*peerpb.TeamDemand {
-	own := n.admission.Demand()
-	n.mu.Lock()
-	limits, gateways := n.limits, len(n.demand)+1
-	n.mu.Unlock()
-	out := make(map[string]*peerpb.TeamDemand, len(own))
-	for team, d := range own {
-		if n.large() && !n.matters(d, limits[team], gateways) {
-			continue
-		}
-		out[team] = &peerpb.TeamDemand{Team: team, TokensPerSecond: d.TokensPerSecond, RequestsPerSecond: d.RequestsPerSecond,
-			Concurrent: int32(d.Concurrent)}
+	if n.large() {
+		return nil
+	}
+	out := make(map[string]*peerpb.TeamDemand)
+	for _, d := range demandMessages(n.admission.Demand()) {
+		out[d.Team] = d
 	}
 	return out
 }
@@ -120,7 +92,7 @@
 		n.demand[vm] = all
 	}
 	for _, d := range changed {
-		all[d.Team] = admission.Demand{TokensPerSecond: d.TokensPerSecond, RequestsPerSecond: d.RequestsPerSecond, Concurrent: int(d.Concurrent)}
+		all[d.Team] = demandOf(d)
 		if all[d.Team] == (admission.Demand{}) {
 			delete(all, d.Team)
 		}
@@ -255,7 +227,7 @@
 func (g *gatewayNode) peerService() *peer.Server {
 	local := &gatewayService{g}
 	return &peer.Server{VM: g.settings.VMName, Incarnation: g.incarnation, Holder: g.holder, Freshness: g.freshness, Mesh: g.mesh,
-		Usage: local, Answers: local, Status: local, Burn: local}
+		Usage: local, Answers: local, Status: local, Burn: local, Limits: g.limitShares}
 }
 
 // gatewayService implements the interfaces of peer.Server.
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -186,3 +186,6 @@
 	}
 	return auth.LoadTLS(auth.TLSFiles{Cert: f.Cert, Key: f.Key, CA: f.CA})
 }
+
+// largeFleet tells whether there are gateways that are no neighbours.
+func (n *node) largeFleet() bool { return len(n.members.Live()) > membership.MaxNeighbours+1 }
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -183,6 +183,15 @@
 	return v.byName[names[0]], true
 }
 
+// Divider returns the VM whose gateway divides a team's limits in a large fleet; this VM when none is live.
+func (m *Members) Divider(team string) string {
+	names := Rendezvous("limits/"+team, m.view.Load().names(nil), 1)
+	if len(names) == 0 {
+		return m.self.Name
+	}
+	return names[0]
+}
+
 // candidatesPerLease is the number of VMs whose controllers compete for a lease: two in each of three failure domains.
 const candidatesPerLease = 6
 
--- a/internal/peer/outbox.go
+++ b/internal/peer/outbox.go
@@ -21,7 +21,7 @@
 const (
 	// smallFleetEntries and largeFleetEntries bound the demands and sends that a gateway tells all its neighbours a second. While every
 	// gateway is a neighbour, they decide limits and choices exactly. In a larger fleet the neighbours are a small part of it, and 24
-	// demands and 24 sends of 25 bytes are 1.2 KB/s of the 6 KB/s that a node may use.
+	// sends of 25 bytes are 0.6 KB/s of the 6 KB/s that a node may use; demands go to the gateway that divides the limits.
 	smallFleetEntries = 128
 	largeFleetEntries = 24
 	// entryBurst is the number of entries that one neighbour may be told at once.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -37,7 +37,13 @@
 	PeerBurn() []*peerpb.BurnSeries
 }
 
-// Server implements peerpb.GatewayServer for a gateway. Usage, Answers, Status and Burn may be nil; their calls then answer
+// LimitDivider divides limits of teams among the gateways of a large fleet.
+type LimitDivider interface {
+	// DivideLimits stores a gateway's demand and returns its shares.
+	DivideLimits(vm string, demand []*peerpb.TeamDemand) []*peerpb.TeamShare
+}
+
+// Server implements peerpb.GatewayServer for a gateway. Usage, Answers, Status, Burn and Limits may be nil; their calls then answer
 // Unimplemented, or with empty values for Status.
 type Server struct {
 	peerpb.UnimplementedGatewayServer
@@ -49,6 +55,7 @@
 	Answers         Answers
 	Status          StatusSource
 	Burn            BurnSource
+	Limits          LimitDivider
 }
 
 // Exchange implements peerpb.GatewayServer.
@@ -118,6 +125,14 @@
 	return out, nil
 }
 
+// DivideLimits implements peerpb.GatewayServer.
+func (s *Server) DivideLimits(_ context.Context, r *peerpb.DivideLimitsRequest) (*peerpb.DivideLimitsResponse, error) {
+	if s.Limits == nil {
+		return nil, errNotServed
+	}
+	return &peerpb.DivideLimitsResponse{Shares: s.Limits.DivideLimits(r.Vm, r.Demand)}, nil
+}
+
 // GetBurn implements peerpb.GatewayServer.
 func (s *Server) GetBurn(context.Context, *peerpb.BurnRequest) (*peerpb.BurnResponse, error) {
 	if s.Burn == nil {
