Wait for a place at a pool that looks full

Cause: admission counts on places that the balancer estimates from reports up to 2 s old and from neighbours' sends that arrive up to 0.5 s late. When the estimate moved between admission and choice, the gateway refused the admitted request as overloaded, while the measured path in internal/measure waited. A trace at the refusals showed 12 to 15 of 16 slots in use. Refused callers that come back at once multiply the refusals. A request that fits no endpoint's memory is refused at once. A withdrawn key is checked after the wait. Ruled out: the capacity expiring (it is set every 50 ms).

--- a/internal/gateway/claimed.go
+++ b/internal/gateway/claimed.go
@@ -80,18 +80,19 @@
 func (g *Gateway) runClaimed(ctx context.Context, s *serviceCall, a *answer) {
 	var last error
 	for try := 0; try < g.opts.MaxAttempts; try++ {
-		// The key may have been withdrawn while the call waited for admission. A call that is dispatched runs to its end.
-		if withdrawn(g.opts.Config.Current(), s.keyHash) {
-			a.fail(apierror.New(apierror.KeyWithdrawn, "ask an operator for a new key", "the key was withdrawn before the call was sent"))
-			return
-		}
-		choice, err := g.choose(s.call, &s.place)
+		choice, err := g.choose(ctx, s.call, &s.place)
 		if err != nil {
 			if last == nil {
 				last = err
 			}
 			break
 		}
+		// The key may have been withdrawn while the call waited for admission or a place. A call that is dispatched runs to its end.
+		if withdrawn(g.opts.Config.Current(), s.keyHash) {
+			choice.Done(balancer.Outcome{})
+			a.fail(apierror.New(apierror.KeyWithdrawn, "ask an operator for a new key", "the key was withdrawn before the call was sent"))
+			return
+		}
 		done, err := g.attemptClaimed(ctx, s, choice, a)
 		if done {
 			return
--- a/internal/gateway/refuse_test.go
+++ b/internal/gateway/refuse_test.go
@@ -158,3 +158,19 @@
 		t.Fatalf("the engine got %s", q.Body)
 	}
 }
+
+// Guards against refusals while another request holds the last slot for a moment, and against a wait for a place that can't come.
+func TestFullPoolIsWaitedFor(t *testing.T) {
+	b := newBed(t, standin.EngineConfig{Slots: 1, DecodeRate: 200})
+	addr := b.gateway("vm-1")
+	first, _ := b.start(addr, "rope")
+	r := b.call("POST", addr, endpoint.ChatPath, "clerk", chatStream)
+	if _, done := r.text(); !done {
+		t.Errorf("behind a stream with all slots: %d %s", r.status, r.body)
+	}
+	first.Body.Close()
+	long := strings.Replace(chatStream, `"max_tokens":8`, `"max_tokens":100000`, 1)
+	if r := b.call("POST", addr, endpoint.ChatPath, "clerk", long); r.err.Kind != apierror.Overloaded || r.err.Run != apierror.NotRun {
+		t.Errorf("above the engine's memory: %d %s", r.status, r.body)
+	}
+}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -187,7 +187,7 @@
 		if try > 0 && !g.mayRetry(s.call, last) {
 			break
 		}
-		choice, err := g.choose(s.call, &s.place)
+		choice, err := g.choose(ctx, s.call, &s.place)
 		if err != nil {
 			if last == nil {
 				last = err
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -54,7 +54,7 @@
 				break
 			}
 			var err error
-			if choice, err = g.choose(m.call, &m.place); err != nil {
+			if choice, err = g.choose(ctx, m.call, &m.place); err != nil {
 				if last == nil {
 					last = err
 				}
@@ -80,9 +80,16 @@
 	s.fail(ctx, last)
 }
 
-// choose picks an endpoint for the next attempt.
-func (g *Gateway) choose(c *call, place *balancer.Request) (*balancer.Choice, error) {
-	choice, err := g.opts.Balancer.Choose(*place)
+// chooseWait bounds the wait for a place of a request without a deadline, like the wait in admission.
+const chooseWait = 30 * time.Second
+
+// choose picks an endpoint for the next attempt. It waits for a place until the deadline of the first token.
+func (g *Gateway) choose(ctx context.Context, c *call, place *balancer.Request) (*balancer.Choice, error) {
+	until := c.deadline
+	if until.IsZero() {
+		until = time.Now().Add(chooseWait)
+	}
+	choice, err := g.opts.Balancer.ChooseWithin(ctx, *place, until)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -19,7 +19,7 @@
 		if try > 0 && !g.mayRetry(m.call, last) {
 			break
 		}
-		choice, err := g.choose(m.call, &m.place)
+		choice, err := g.choose(ctx, m.call, &m.place)
 		if err != nil {
 			if last == nil {
 				last = err
--- a/internal/measure/cluster_test.go
+++ b/internal/measure/cluster_test.go
@@ -1,6 +1,7 @@
 package measure
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -37,7 +38,11 @@
 // rules says which rule decides in a run.
 type rules struct {
 	choice rule
-	fifo   bool
+	// lag is the age of load reports; zero means reportLag.
+	lag time.Duration
+	// exchange is the time between two exchanges; zero means exchangeEvery.
+	exchangeTime time.Duration
+	fifo         bool
 	// plainRetries retries twice without a budget and without quarantine.
 	plainRetries bool
 	// silent leaves out the exchange of deaths between gateways.
@@ -163,7 +168,7 @@
 func (c *cluster) report(ctx context.Context, e *engine) {
 	for {
 		load, at := e.report(), time.Now()
-		if pause(ctx, nil, reportLag) != nil {
+		if pause(ctx, nil, cmp.Or(c.lag, reportLag)) != nil {
 			return
 		}
 		for _, g := range c.gateways {
@@ -236,7 +241,7 @@
 				}
 			}
 		}
-		if pause(ctx, nil, exchangeEvery-oneWay) != nil {
+		if pause(ctx, nil, cmp.Or(c.exchangeTime, exchangeEvery)-oneWay) != nil {
 			return
 		}
 	}
