Try a pool whose endpoints are all ejected once a second

Such a pool got trials only at the end of each ejection, up to 30 s apart, and a trial counted only at the end of its stream. A request that only ejected endpoints could take is a trial of the one whose ejection ends first, at most one a second for each pool; admission makes room for it. The first token of a trial ends the ejection, and one more failure then ejects for twice as long. Ruled out: trying an endpoint that already failed the same request, since a request that kills engines would kill it again.

--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -185,7 +185,7 @@
 		}
 		time.Sleep(time.Second)
 		e := &ejected[0].ejection
-		if e.excluded(time.Now()) || !e.beginProbe(time.Now()) || !e.excluded(time.Now()) {
+		if e.excluded(time.Now()) || !e.beginProbe() || !e.excluded(time.Now()) {
 			t.Fatal("the trial must be exactly one request")
 		}
 		e.record(ejected[0].pool, true, true, time.Now())
--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -78,9 +78,14 @@
 			p.notePressure(now, best.firstWait)
 			return b.take(best, &r, now), nil
 		}
-		if !p.widen(now) {
-			return nil, b.refusal(p, &r, now)
+		if p.widen(now) {
+			continue
 		}
+		if s, found := p.lastResort(&r, now); found {
+			p.resortAt = now.Add(firstEjection)
+			return b.take(b.predict(s, &r, now), &r, now), nil
+		}
+		return nil, b.refusal(p, &r, now)
 	}
 }
 
@@ -161,7 +166,7 @@
 	w := work{at: now, tokens: float64(r.PromptTokens - c.cached), requests: 1, pieces: pieces(r.PromptTokens-c.cached) + pieces(r.OutputTokens)}
 	s.addOwn(w)
 	s.pool.noteSize(w)
-	probe := s.ejection.beginProbe(now)
+	probe := s.ejection.beginProbe()
 	sent := b.pending[s.Name]
 	sent.PromptTokens += int64(w.tokens)
 	sent.Requests++
@@ -179,6 +184,7 @@
 	if c.prefill {
 		c.prefill = false
 		c.state.ownPrefill -= c.work.tokens
+		c.state.ejection.firstToken(c.probe)
 	}
 }
 
--- a/internal/balancer/state.go
+++ b/internal/balancer/state.go
@@ -285,19 +285,21 @@
 
 // eligible tells whether the endpoint may run the request now: it is neither ejected nor saturated.
 func (s *endpointState) eligible(r *Request, now time.Time) bool {
-	if s.ejection.excluded(now) || !s.serves(r) {
-		return false
-	}
+	return !s.ejection.excluded(now) && s.serves(r) && !s.full(r, now)
+}
+
+// full tells whether the endpoint has no slot, memory or time for the request.
+func (s *endpointState) full(r *Request, now time.Time) bool {
 	if s.Load.Slots > 0 && s.running() >= s.Load.Slots || s.queueTime(now) > saturatedQueueTime {
-		return false
+		return true
 	}
 	if s.Load.KVTotal == 0 {
-		return true
+		return false
 	}
 	free := s.freePieces() - pieces(r.OutputTokens)
 	if free >= pieces(r.PromptTokens) {
-		return true
+		return false
 	}
 	// A cached prefix needs no new pieces.
-	return free >= pieces(r.PromptTokens-min(s.expectedHit(r.Prefix, now), r.PromptTokens))
+	return free < pieces(r.PromptTokens-min(s.expectedHit(r.Prefix, now), r.PromptTokens))
 }
--- a/internal/balancer/subset.go
+++ b/internal/balancer/subset.go
@@ -31,6 +31,8 @@
 	// meanPieces and meanTokens are moving averages of the KV pieces and the uncached prompt tokens of a request.
 	meanPieces float64
 	meanTokens float64
+	// resortAt is the time from which an ejected endpoint may be tried as a last resort.
+	resortAt time.Time
 }
 
 // sizeWeight is the weight of the newest request in the moving averages of sizes.
@@ -143,7 +145,7 @@
 		free += s.freePlaces(now)
 	}
 	if !open {
-		return 0, 0
+		return p.resortCapacity(own, now, gateways)
 	}
 	// Neighbours count the places that this gateway has taken since the last exchange as free, so they are part of what is
 	// divided and of this gateway's share.
@@ -153,6 +155,23 @@
 	return max(1, own+share), tokensPerSecond / float64(gateways)
 }
 
+// resortCapacity is the capacity of a pool whose endpoints are all ejected: room for one trial when it is due. While a request is in
+// progress others wait for its outcome.
+func (p *pool) resortCapacity(own int, now time.Time, gateways int) (concurrent int, tokensPerSecond float64) {
+	for _, s := range p.members {
+		if s.serves(&Request{}) {
+			tokensPerSecond += s.prefillRate()
+		}
+	}
+	if tokensPerSecond == 0 {
+		return 0, 0
+	}
+	if !now.Before(p.resortAt) {
+		own++
+	}
+	return own, tokensPerSecond / float64(gateways)
+}
+
 // defaultSlots is assumed for an endpoint that does not report its slots.
 const defaultSlots = 32
 
