Free the key of a call that its service turned away

Cause: any answer of a service was stored as the outcome of a non-idempotent call, so a 429 or 503 used up the idempotency key although nothing had run. Change: after a 429 or 503 the gateway asks the service for the request id. When the instance that the claim names answers that it does not know the id, the claim becomes not_run and the caller gets a refusal that says so. The call had a connection of its own and was answered, so no copy of it can come later. Without a lookup, without an instance in the claim, or with another instance, the answer stays the stored outcome. Ruled out: another endpoint at once, since a service that is overloaded would get more load. The stand-in service can refuse after executing. Result: TestTurnedAwayCalls: before, the repeat of a call that was not executed got the stored 503; now it runs, once.

--- a/internal/apierror/apierror.go
+++ b/internal/apierror/apierror.go
@@ -15,7 +15,7 @@
 type Run string
 
 const (
-	// NotRun means that no byte of the request left for an endpoint and none will.
+	// NotRun means that no endpoint ran the request or will: no byte of it left, or the service that turned it away does not know it.
 	NotRun Run = "not_run"
 	// Ran means that an endpoint ran the request at least in part.
 	Ran Run = "run"
--- a/internal/e2e/atmostonce_test.go
+++ b/internal/e2e/atmostonce_test.go
@@ -237,6 +237,7 @@
 		{"services cut before executing", func() { c.serviceFaults(standin.ServiceFaults{CutBefore: true}) }, func() { c.serviceFaults(standin.ServiceFaults{}) }},
 		{"services cut after executing", func() { c.serviceFaults(standin.ServiceFaults{CutAfterExecuting: true}) }, func() { c.serviceFaults(standin.ServiceFaults{}) }},
 		{"services refuse", func() { c.serviceFaults(standin.ServiceFaults{RefuseBefore: true}) }, func() { c.serviceFaults(standin.ServiceFaults{}) }},
+		{"services refuse after executing", func() { c.serviceFaults(standin.ServiceFaults{RefuseAfterExecuting: true}) }, func() { c.serviceFaults(standin.ServiceFaults{}) }},
 		{"platform out", func() { c.mem.UpdateFaults(func(f *memplatform.Faults) { f.Down = true }) }, func() { c.mem.UpdateFaults(func(f *memplatform.Faults) { f.Down = false }) }},
 		{"platform's answers lost", func() { c.mem.UpdateFaults(func(f *memplatform.Faults) { f.LoseAnswers = 20 }) }, func() { c.mem.UpdateFaults(func(f *memplatform.Faults) { f.LoseAnswers = 0 }) }},
 		{"platform's answers held back", func() { c.platformLinks(fault.DropAnswers) }, func() { c.platformLinks(fault.Pass) }},
@@ -329,7 +330,7 @@
 			for range 4 {
 				v := c.vms[rng.IntN(vmCount)]
 				pause := time.Duration(200+rng.IntN(800)) * time.Millisecond
-				switch rng.IntN(5) {
+				switch rng.IntN(7) {
 				case 0:
 					c.restartGateway(v)
 				case 1:
@@ -344,6 +345,10 @@
 					c.mem.UpdateFaults(func(f *memplatform.Faults) { f.Down = true })
 					time.Sleep(pause)
 					c.mem.UpdateFaults(func(f *memplatform.Faults) { f.Down = false })
+				case 5:
+					c.serviceFaults(standin.ServiceFaults{RefuseBefore: true, Times: 20})
+				case 6:
+					c.serviceFaults(standin.ServiceFaults{RefuseAfterExecuting: true, Times: 3})
 				}
 				time.Sleep(pause)
 			}
--- a/internal/gateway/claimed.go
+++ b/internal/gateway/claimed.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/google/uuid"
@@ -128,6 +129,9 @@
 	choice.Done(balancer.Outcome{Failed: endpointFailed(err)})
 	e := endpoint.AsError(err)
 	switch {
+	case err == nil && g.turnedAway(ctx, c, choice, got.Status):
+		g.endNotRun(ctx, s, c, a, got)
+		return true, nil
 	case err == nil:
 		g.finishClaim(ctx, s, c, a, got)
 		return true, nil
@@ -202,7 +206,33 @@
 	}
 }
 
-// finishClaim stores the outcome and answers the caller. Any answer of a service is an outcome, whatever its status.
+// turnedAway tells whether a service that answered with a status of overload has not run the call and will not: the instance
+// that the claim names, asked after its answer, does not know the request. A call has a connection of its own, so after the answer
+// no copy of it can be on the way. A service that can't be asked, or another instance, proves nothing.
+func (g *Gateway) turnedAway(ctx context.Context, c world.Claim, choice *balancer.Choice, status int) bool {
+	if status != http.StatusTooManyRequests && status != http.StatusServiceUnavailable || c.Instance == "" {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+	defer cancel()
+	lookup, err := g.opts.Endpoints.Lookup(ctx, choice.Endpoint.Addr, c.RequestID)
+	return err == nil && lookup.State == endpoint.LookupUnknown && lookup.Instance == c.Instance
+}
+
+// endNotRun ends the claim of a call that the service turned away, so that its key can be used again.
+func (g *Gateway) endNotRun(ctx context.Context, s *serviceCall, c world.Claim, a *answer, got *endpoint.ServiceAnswer) {
+	g.store(ctx, c, func(ctx context.Context) error { return g.opts.Claims.NotRun(ctx, c) })
+	g.opts.OnClaim(c.Team, world.ClaimNotRun)
+	e := apierror.New(apierror.Overloaded, "repeat the call with the same key after the stated time",
+		"an endpoint of pool %s turned the call away with status %d", s.pool.Name, got.Status)
+	e.RetryAfterSeconds = 1
+	if after, err := strconv.Atoi(got.Header.Get("Retry-After")); err == nil && after > 0 {
+		e.RetryAfterSeconds = after
+	}
+	a.fail(e)
+}
+
+// finishClaim stores the outcome and answers the caller. Any other answer of a service is an outcome, whatever its status.
 func (g *Gateway) finishClaim(ctx context.Context, s *serviceCall, c world.Claim, a *answer, got *endpoint.ServiceAnswer) {
 	outcome := claim.Outcome{Status: got.Status, ContentType: got.Header.Get("Content-Type"), Body: got.Body}
 	g.store(ctx, c, func(ctx context.Context) error { return g.opts.Claims.Finish(ctx, c, outcome) })
--- a/internal/gateway/service_test.go
+++ b/internal/gateway/service_test.go
@@ -83,6 +83,42 @@
 	}
 }
 
+// Guards against a key that is used up by a call that its service turned away, and against a second run of a call that ran although
+// its service answered 503.
+func TestTurnedAwayCalls(t *testing.T) {
+	refuse, after := standin.ServiceFaults{RefuseBefore: true, Times: 1}, standin.ServiceFaults{RefuseAfterExecuting: true, Times: 1}
+	restart := after
+	restart.RestartOnRefusal = true
+	for name, c := range map[string]struct {
+		config standin.ServiceConfig
+		again  bool // the repeat runs
+		runs   int
+	}{
+		"not executed":             {standin.ServiceConfig{Faults: refuse}, true, 1},
+		"executed":                 {standin.ServiceConfig{Faults: after}, false, 1},
+		"executed, restarted":      {standin.ServiceConfig{Faults: restart}, false, 1},
+		"executed, can't be asked": {standin.ServiceConfig{Faults: after, NoLookup: true}, false, 1},
+		"executed, no instance":    {standin.ServiceConfig{Faults: restart, NoLoad: true}, false, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t)
+			b.service = standin.NewService(c.config)
+			b.pools[1].Endpoints[0].Addr = serve(t, b.service)
+			first, second := b.gateway("vm-1"), b.gateway("vm-2")
+			r, repeat := b.declare(first, "k", "{}"), b.declare(second, "k", "{}")
+			if r.status != 503 || (r.err.Run == apierror.NotRun) != c.again {
+				t.Errorf("got %d %s", r.status, r.body)
+			}
+			if again := repeat.status == 200 && repeat.header.Get(replayHeader) == ""; again != c.again {
+				t.Errorf("the repeat got %d %s", repeat.status, repeat.body)
+			}
+			if n := b.service.Executed(); n != c.runs {
+				t.Errorf("the call ran %d times, want %d", n, c.runs)
+			}
+		})
+	}
+}
+
 // Guards against idempotent calls that are not repeated, or that are repeated although the answer came.
 func TestIdempotentIsRetried(t *testing.T) {
 	b := newBed(t)
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -29,10 +29,13 @@
 	// Slow delays each execution.
 	Slow time.Duration
 	// CutAfterExecuting executes and then breaks the connection, RefuseBefore answers 503 without executing,
-	// CutBefore breaks the connection without executing.
-	CutAfterExecuting bool
-	RefuseBefore      bool
-	CutBefore         bool
+	// CutBefore breaks the connection without executing, RefuseAfterExecuting executes and then answers 503.
+	CutAfterExecuting    bool
+	RefuseBefore         bool
+	CutBefore            bool
+	RefuseAfterExecuting bool
+	// RestartOnRefusal gives the service a new instance before it answers 503.
+	RestartOnRefusal bool
 	// WrongID echoes another request's id, ShortBody announces more bytes than it sends.
 	WrongID   bool
 	ShortBody bool
@@ -164,13 +167,16 @@
 	case f.CutBefore:
 		abort()
 	case f.RefuseBefore:
-		w.Header().Set("X-Request-Id", id)
-		writeRefusal(w, http.StatusServiceUnavailable, "the service refuses; nothing was executed")
+		s.refuse(w, id, f, "the service refuses; nothing was executed")
 		return
 	}
 	answer := s.execute(id, r, body, f.Slow)
-	if f.CutAfterExecuting {
+	switch {
+	case f.CutAfterExecuting:
 		abort()
+	case f.RefuseAfterExecuting:
+		s.refuse(w, id, f, "the service executed the call and refuses")
+		return
 	}
 	if f.WrongID {
 		id = "another-request"
@@ -184,6 +190,14 @@
 	_, _ = w.Write(answer)
 }
 
+func (s *Service) refuse(w http.ResponseWriter, id string, f ServiceFaults, message string) {
+	if f.RestartOnRefusal {
+		s.Restart()
+	}
+	w.Header().Set("X-Request-Id", id)
+	writeRefusal(w, http.StatusServiceUnavailable, message)
+}
+
 // execute counts one execution and returns its answer.
 func (s *Service) execute(id string, r *http.Request, body []byte, slow time.Duration) []byte {
 	s.mu.Lock()
