--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -55,7 +55,7 @@
 	mesh       *peer.Mesh
 	readiness  *peer.Readiness
 	neighbours *neighbours
-	entry      *entry
+	entry      *membership.Entry
 	demand     *demandMeter
 }
 
@@ -103,7 +103,7 @@
 	g.mesh = peer.NewMesh(s.VMName, g.incarnation, g.members, g.clients, g.holder, g.freshness, g.neighbours, g.neighbours)
 	g.subscriber = config.NewSubscriber(s.VMName, "gateway", g.holder, g.freshness, g.members.Parents, g.clients.DialController)
 	g.readiness = peer.NewReadiness(g.mesh, g.subscriber.Synced)
-	g.entry = &entry{self: g.self, members: g.members, mesh: g.mesh}
+	g.entry = membership.NewEntry(g.self, g.members, g.mesh.Serving)
 	copier := &usageCopier{node: base, mesh: g.mesh}
 	g.ledger = usage.NewLedger(usage.Options{Incarnation: s.VMName + "." + g.incarnation, WindowLength: int64(s.WindowLength / time.Second),
 		Peers: copier.peers, Copier: copier, Sealed: usage.ReadSealed(g.platform),
@@ -168,7 +168,7 @@
 	lastForget := time.Now()
 	for {
 		for pool := range g.holder.Current().Pools() {
-			concurrent, rate := g.balancer.Capacity(pool, g.entry.sharing())
+			concurrent, rate := g.balancer.Capacity(pool, g.entry.Sharing())
 			g.admission.SetCapacity(pool, concurrent, rate)
 		}
 		if time.Since(lastForget) > forgetUsageAfter {
--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -15,7 +13,6 @@
 	"crocusglade.example/crocusglade/internal/admission"
 	"crocusglade.example/crocusglade/internal/balancer"
 	"crocusglade.example/crocusglade/internal/gateway"
-	"crocusglade.example/crocusglade/internal/membership"
 	"crocusglade.example/crocusglade/internal/peer"
 	"crocusglade.example/crocusglade/internal/peer/peerpb"
 	"crocusglade.example/crocusglade/internal/retry"
@@ -151,71 +148,6 @@
 	n.admission.SetPeerDemand(vm, nil)
 }
 
-// entry answers which gateways serve callers. It implements gateway.Members.
-type entry struct {
-	self    world.VM
-	members *membership.Members
-	mesh    *peer.Mesh
-
-	mu   sync.Mutex
-	left bool
-}
-
-// Leave implements gateway.Members. Neighbours learn of it by the next exchange.
-func (e *entry) Leave() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.left = true
-}
-
-// serving returns the VMs whose gateways serve callers.
-func (e *entry) serving() []world.VM {
-	e.mu.Lock()
-	left := e.left
-	e.mu.Unlock()
-	var out []world.VM
-	if !left {
-		out = append(out, e.self)
-	}
-	for _, vm := range e.members.Neighbours() {
-		if e.mesh.Serving(vm.Name) {
-			out = append(out, vm)
-		}
-	}
-	return out
-}
-
-// sharing returns how many gateways share the pools: all live VMs, without the neighbours that are known not to serve.
-func (e *entry) sharing() int {
-	neighbours := e.members.Neighbours()
-	others := 0
-	for _, vm := range e.members.Live() {
-		if vm.Name != e.self.Name {
-			others++
-		}
-	}
-	return max(1, others-len(neighbours)+len(e.serving()))
-}
-
-// Addresses implements gateway.Members. The order is random, and neighbouring addresses are in different failure domains where
-// possible, so that callers spread and their second try meets another domain.
-func (e *entry) Addresses() []string {
-	vms := e.serving()
-	rand.Shuffle(len(vms), func(i, j int) { vms[i], vms[j] = vms[j], vms[i] })
-	seen := make(map[string]int)
-	rank := make(map[string]int, len(vms))
-	for _, vm := range vms {
-		rank[vm.Name] = seen[vm.FailureDomain]
-		seen[vm.FailureDomain]++
-	}
-	slices.SortStableFunc(vms, func(a, b world.VM) int { return rank[a.Name] - rank[b.Name] })
-	out := make([]string, 0, len(vms))
-	for _, vm := range vms {
-		out = append(out, vm.GatewayAddr)
-	}
-	return out
-}
-
 // usageCopier copies counters to peers. Peers are named "<vm>@<incarnation>", so a restarted peer counts as a new one.
 type usageCopier struct {
 	node *node
--- a/internal/daemon/roles.go
+++ b/internal/daemon/roles.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 
+	"crocusglade.example/crocusglade/internal/gateway"
 	"crocusglade.example/crocusglade/internal/settings"
 	"crocusglade.example/crocusglade/internal/telemetry"
 )
@@ -35,8 +36,8 @@
 		t.Log.Error().Str("error", telemetry.Redact(err.Error())).Msg("can't start")
 		return ExitFailed
 	}
-	// The gateway serves on for the lifetime of the addresses that callers keep, and then drains.
-	return Run(ctx, t, s.EntryLifetime+s.DrainLimit, parts)
+	// The gateway serves on until neighbours know that it leaves and for the lifetime of the addresses that callers keep, and then drains.
+	return Run(ctx, t, gateway.DefaultLeaveNotice+s.EntryLifetime+s.DrainLimit, parts)
 }
 
 // Controller runs `crocusgladed controller` and returns the exit code.
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -4,17 +4,20 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"crocusglade.example/crocusglade/internal/config"
 	"crocusglade.example/crocusglade/internal/endpoint"
 )
 
 // Guards against a planned stop that loses an answer whose caller was cut and may still fetch it (G7, G11).
 func TestDrainWaitsForFetches(t *testing.T) {
 	b := newBed(t, slow)
-	addr := b.gateway("vm-1", func(o *Options) { o.EntryLifetime = time.Millisecond })
+	addr := b.gateway("vm-1", func(o *Options) { o.EntryLifetime, o.LeaveNotice = time.Millisecond, time.Millisecond })
 	g := b.gateways["vm-1"]
 	resp, _ := b.start(addr, "rope")
 	id := resp.Header.Get(requestIDHeader)
@@ -40,6 +43,25 @@
 	}
 }
 
+// Guards against new work refused while callers hold this address: a neighbour that has not heard of the drain yet still gives it
+// out, for a lifetime from then on.
+func TestDrainOutlastsAddressesOfNeighbours(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := New(Options{Config: config.NewHolder(), Members: &members{}})
+		drained := make(chan error, 1)
+		go func() { drained <- g.Drain(t.Context()) }()
+		time.Sleep(DefaultLeaveNotice + DefaultEntryLifetime - time.Millisecond)
+		w := httptest.NewRecorder()
+		g.ServeHTTP(w, httptest.NewRequest(http.MethodPost, endpoint.ChatPath, nil))
+		if w.Code != http.StatusUnauthorized {
+			t.Errorf("a request without a key gave %d, want %d", w.Code, http.StatusUnauthorized)
+		}
+		if err := <-drained; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 // Guards against a request that runs on although its caller has left before it got the id by which it could fetch the answer.
 func TestLeavingBeforeTheAnswerCancels(t *testing.T) {
 	b := newBed(t, slow)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,7 +31,9 @@
 // Defaults of Options.
 const (
 	DefaultEntryLifetime = 30 * time.Second
-	DefaultAnswerTTL     = 60 * time.Second
+	// DefaultLeaveNotice is how long a neighbour that hears nothing still counts this gateway as serving (3 s in internal/peer).
+	DefaultLeaveNotice = 3 * time.Second
+	DefaultAnswerTTL   = 60 * time.Second
 	// DefaultAbandonAfter leaves a caller time to reconnect before its request is cancelled at the engine.
 	DefaultAbandonAfter   = 20 * time.Second
 	DefaultMaxBodyBytes   = 4 << 20
@@ -124,9 +126,11 @@
 
 	// Optional limits.
 	EntryLifetime time.Duration
-	AnswerTTL     time.Duration
-	AbandonAfter  time.Duration
-	MaxBodyBytes  int64
+	// LeaveNotice is the time after which no neighbour gives out this gateway's address any more once it has left discovery.
+	LeaveNotice  time.Duration
+	AnswerTTL    time.Duration
+	AbandonAfter time.Duration
+	MaxBodyBytes int64
 	// MaxAnswerBytes bounds the memory of finished answers that are kept for fetching.
 	MaxAnswerBytes int64
 	// MaxAttempts bounds the endpoints that one request is tried on.
@@ -186,6 +190,7 @@
 		o.HandOver = func(context.Context) error { return nil }
 	}
 	o.EntryLifetime = cmp.Or(o.EntryLifetime, DefaultEntryLifetime)
+	o.LeaveNotice = cmp.Or(o.LeaveNotice, DefaultLeaveNotice)
 	o.AnswerTTL = cmp.Or(o.AnswerTTL, DefaultAnswerTTL)
 	o.AbandonAfter = cmp.Or(o.AbandonAfter, DefaultAbandonAfter)
 	o.MaxBodyBytes = cmp.Or(o.MaxBodyBytes, DefaultMaxBodyBytes)
--- a/internal/gateway/model_test.go
+++ b/internal/gateway/model_test.go
@@ -197,7 +197,7 @@
 	b := newBed(t, slow)
 	handedOver := make(chan struct{})
 	addr := b.gateway("vm-1", func(o *Options) {
-		o.EntryLifetime = 100 * time.Millisecond
+		o.EntryLifetime, o.LeaveNotice = 100*time.Millisecond, time.Millisecond
 		o.HandOver = func(context.Context) error { close(handedOver); return nil }
 	})
 	g := b.gateways["vm-1"]
