--- a/internal/measure/discovery_test.go
+++ b/internal/measure/discovery_test.go
@@ -13,7 +13,7 @@
 	"time"
 )
 
-func init() { sections = append(sections, section{4, "discovery", measureDiscovery}) }
+func init() { sections = append(sections, section{8, "discovery", measureDiscovery}) }
 
 const (
 	discoveryCallers = 1000
--- a/internal/measure/lessons_test.go
+++ b/internal/measure/lessons_test.go
@@ -2,7 +2,7 @@
 
 import "testing"
 
-func init() { sections = append(sections, section{8, "lessons", writeLessons}) }
+func init() { sections = append(sections, section{20, "lessons", writeLessons}) }
 
 // writeLessons writes what failed tries taught. Their figures are those of the commits that made the changes.
 func writeLessons(t *testing.T, r *report) {
