--- a/internal/auth/auth_test.go
+++ b/internal/auth/auth_test.go
@@ -1,26 +1,19 @@
 package auth
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
 	"encoding/json"
-	"encoding/pem"
 	"fmt"
-	"math/big"
 	"net"
 	"os"
 	"path/filepath"
 	"sync"
 	"testing"
-	"time"
 
 	"github.com/go-faster/errors"
 
 	"crocusglade.example/crocusglade/internal/apierror"
+	"crocusglade.example/crocusglade/internal/certtest"
 	"crocusglade.example/crocusglade/internal/config"
 	"crocusglade.example/crocusglade/internal/world"
 )
@@ -122,45 +115,9 @@
 	}
 }
 
-// authority signs certificates for PeerServerName.
-type authority struct {
-	key  *ecdsa.PrivateKey
-	cert *x509.Certificate
-}
-
-func newAuthority(t *testing.T) *authority {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	c := &x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "ca"}, IsCA: true, BasicConstraintsValid: true,
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign}
-	der, err := x509.CreateCertificate(rand.Reader, c, c, &key.PublicKey, key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	c, _ = x509.ParseCertificate(der)
-	return &authority{key, c}
-}
-
-// write puts a new certificate, its key and the trusted authority into dir.
-func (a *authority) write(t *testing.T, dir string, trust *authority) TLSFiles {
-	key, _ := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	c := &x509.Certificate{SerialNumber: big.NewInt(2), NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		DNSNames: []string{PeerServerName}, ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}}
-	der, err := x509.CreateCertificate(rand.Reader, c, a.cert, &key.PublicKey, a.key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	keyDER, _ := x509.MarshalPKCS8PrivateKey(key)
-	f := TLSFiles{filepath.Join(dir, "cert"), filepath.Join(dir, "key"), filepath.Join(dir, "ca")}
-	for name, b := range map[string]*pem.Block{f.Cert: {Type: "CERTIFICATE", Bytes: der}, f.Key: {Type: "PRIVATE KEY", Bytes: keyDER},
-		f.CA: {Type: "CERTIFICATE", Bytes: trust.cert.Raw}} {
-		if err := os.WriteFile(name, pem.EncodeToMemory(b), 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
-	return f
+// peerFiles writes the files of a peer into dir.
+func peerFiles(a *certtest.Authority, dir string, trust *certtest.Authority) TLSFiles {
+	return TLSFiles(a.Write(dir, []string{PeerServerName}, trust))
 }
 
 // handshake returns the errors of server and client over loopback. A net.Pipe would block when both sides write an alert.
@@ -199,13 +156,13 @@
 // Guards against peers of another authority, against certificates that need a restart, and against a broken file that takes a
 // good identity out of force.
 func TestMutualTLSReload(t *testing.T) {
-	first, second := newAuthority(t), newAuthority(t)
+	first, second := certtest.NewAuthority(t, "first"), certtest.NewAuthority(t, "second")
 	serverDir, clientDir := t.TempDir(), t.TempDir()
-	server, err := LoadTLS(first.write(t, serverDir, first))
+	server, err := LoadTLS(peerFiles(first, serverDir, first))
 	if err != nil {
 		t.Fatal(err)
 	}
-	client, err := LoadTLS(first.write(t, clientDir, first))
+	client, err := LoadTLS(peerFiles(first, clientDir, first))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -215,22 +172,22 @@
 	if handshake(server, client, "10.0.0.1") == nil {
 		t.Fatal("a certificate for another name is accepted")
 	}
-	second.write(t, clientDir, first)
+	peerFiles(second, clientDir, first)
 	if err := client.Reload(); err != nil {
 		t.Fatal(err)
 	}
 	if handshake(server, client, "") == nil {
 		t.Fatal("a client of another authority is accepted")
 	}
-	second.write(t, serverDir, second)
-	second.write(t, clientDir, second)
+	peerFiles(second, serverDir, second)
+	peerFiles(second, clientDir, second)
 	if err := errors.Join(server.Reload(), client.Reload()); err != nil {
 		t.Fatal(err)
 	}
 	if err := handshake(server, client, ""); err != nil {
 		t.Fatalf("after both changed authority: %v", err)
 	}
-	if err := os.WriteFile(filepath.Join(serverDir, "cert"), []byte("half written"), 0o600); err != nil {
+	if err := os.WriteFile(filepath.Join(serverDir, "cert.pem"), []byte("half written"), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	if server.Reload() == nil {
--- a/internal/auth/tls.go
+++ b/internal/auth/tls.go
@@ -6,13 +6,14 @@
 	"crypto/tls"
 	"crypto/x509"
 	"net"
-	"net/netip"
 	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"crocusglade.example/crocusglade/internal/world"
 )
 
 // reloadPeriod is the time between two looks at the files of certificates.
@@ -144,6 +145,39 @@
 	}
 }
 
+// Dial opens a connection, as net.Dialer.DialContext does.
+type Dial = func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// handshakeTimeout bounds a TLS handshake after the connection is open.
+const handshakeTimeout = 2 * time.Second
+
+// DialTLS returns a function that opens TLS connections over those of dial. The server's certificate must be valid for the host that
+// is dialled. A nil TLS means the system's authorities and no client certificate.
+func (t *TLS) DialTLS(dial Dial) Dial {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		host, _, err := net.SplitHostPort(addr)
+		if err != nil {
+			return nil, errors.Wrapf(err, "auth: address %q; use host:port", addr)
+		}
+		config := &tls.Config{MinVersion: tls.VersionTLS12, ServerName: host}
+		if t != nil {
+			config = t.ClientConfig(host)
+		}
+		raw, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+		defer cancel()
+		conn := tls.Client(raw, config)
+		if err := conn.HandshakeContext(ctx); err != nil {
+			_ = raw.Close()
+			return nil, err
+		}
+		return conn, nil
+	}
+}
+
 func (t *TLS) verify(s tls.ConnectionState, name string, usage x509.ExtKeyUsage) error {
 	roots := t.current.Load().roots
 	if roots == nil || len(s.PeerCertificates) == 0 {
@@ -165,10 +199,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "auth: address %q; use host:port", addr)
 	}
-	if host == "localhost" {
-		return nil
-	}
-	if ip, err := netip.ParseAddr(host); err == nil && ip.Unmap().IsLoopback() {
+	if world.IsLoopback(host) {
 		return nil
 	}
 	return errors.Errorf("auth: plain TCP on %s is not allowed; set the TLS files or use a loopback address", addr)
--- a/internal/controller/admin/operations.go
+++ b/internal/controller/admin/operations.go
@@ -104,6 +104,9 @@
 		all := s.Endpoints.Endpoints(pool)
 		for _, name := range slices.Sorted(maps.Keys(all)) {
 			v := endpointView{Endpoint: all[name], Reason: controller.Drained(now, pool, name)}
+			if err := world.CheckEndpointAddr(v.Addr); v.Reason == "" && v.Addr != "" && err != nil {
+				v.Reason = err.Error()
+			}
 			if v.Reason == "" && v.State != world.EndpointReady && v.State != "" {
 				v.Reason = "the provider's state is " + string(v.State)
 			}
--- a/internal/controller/collector.go
+++ b/internal/controller/collector.go
@@ -95,7 +95,7 @@
 	all := make(map[string]world.Endpoint)
 	for pool := range c.holder.Current().Pools() {
 		for name, e := range c.directory.Endpoints(pool) {
-			if e.Addr != "" && e.State != world.EndpointGone {
+			if world.CheckEndpointAddr(e.Addr) == nil && e.State != world.EndpointGone {
 				all[name] = e
 			}
 		}
@@ -191,8 +191,11 @@
 // stays in use meanwhile.
 const noReportAge = time.Hour
 
-// takesWork tells whether the provider's state allows new work.
+// takesWork tells whether the provider's state allows new work, and the address, when it is known, allows calls.
 func takesWork(e world.Endpoint) bool {
+	if e.Addr != "" && world.CheckEndpointAddr(e.Addr) != nil {
+		return false
+	}
 	return (e.State == world.EndpointReady || e.State == "") && e.ReclaimAt == 0
 }
 
--- a/internal/controller/load_test.go
+++ b/internal/controller/load_test.go
@@ -141,22 +141,26 @@
 		s := NewLoadSubscriber("vm-0", h, members, dial, b)
 		pool := world.Pool{Name: "p", Kind: world.PoolEngine}
 		for i := range 6 {
-			pool.Endpoints = append(pool.Endpoints, world.Endpoint{Name: fmt.Sprintf("e%d", i), Addr: fmt.Sprintf("10.0.0.%d:1", i), Class: world.OnDemand})
+			pool.Endpoints = append(pool.Endpoints, world.Endpoint{Name: fmt.Sprintf("e%d", i), Addr: fmt.Sprintf("https://10.0.0.%d:1", i), Class: world.OnDemand})
 		}
 		configure(h, world.KindPool, "p", pool)
 		if _, ok := b.get("p/e0"); !ok {
 			t.Fatal("a configured endpoint is not known at once")
 		}
-		p.SetEndpoints("p", []world.Endpoint{{Name: "x", Addr: "10.0.1.1:1", State: world.EndpointReady, Class: world.Reclaimable}})
+		p.SetEndpoints("p", []world.Endpoint{{Name: "x", Addr: "https://10.0.1.1:1", State: world.EndpointReady, Class: world.Reclaimable},
+			{Name: "plain", Addr: "10.0.1.2:1", State: world.EndpointReady, Class: world.OnDemand}})
 		wg.Go(func() { _ = s.Run(ctx) })
 		time.Sleep(10 * time.Second)
 		client.take()
 		time.Sleep(10 * time.Second)
 		for name, n := range client.take() {
-			if n < 15 || n > 21 {
+			if n < 15 || n > 21 || name == "plain" {
 				t.Errorf("%s was polled %d times in 10 s", name, n)
 			}
 		}
+		if e, ok := b.get("p/plain"); !ok || !e.NoNewWork {
+			t.Errorf("an endpoint with a plain address outside loopback: %+v, %v", e, ok)
+		}
 		if e, ok := b.get("p/x"); !ok || e.Load.Running != 3 || e.NoNewWork || time.Since(e.ReportedAt) > 4*time.Second {
 			t.Fatalf("ordered endpoint: %+v, %v", e, ok)
 		}
--- a/internal/controller/loadserver_test.go
+++ b/internal/controller/loadserver_test.go
@@ -17,7 +17,7 @@
 	c = &Collector{reports: make(map[string]*report), gone: make(map[string]uint64), without: make(map[string]int), changed: make(chan struct{})}
 	for i := range n {
 		name := fmt.Sprintf("engine-%03d", i)
-		c.reports[name] = &report{endpoint: world.Endpoint{Name: name, Pool: "p", Addr: "10.0.0.1:1", State: world.EndpointReady}}
+		c.reports[name] = &report{endpoint: world.Endpoint{Name: name, Pool: "p", Addr: "https://10.0.0.1:1", State: world.EndpointReady}}
 	}
 	return c, func(step int) {
 		for _, r := range c.reports {
--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -176,7 +176,7 @@
 	return &duty.Orders{Pool: pool, Holder: c.holderName(), Store: c.platform, Fleet: c.fleet, Log: c.telemetry.Log, Rank: c.members.Rank,
 		OnTerm:      func(held bool) { c.countTerm(string(world.DutyOrders), held) },
 		NewProvider: func(a *lease.Authority) platform.Provider { return c.boundPlatform(a) },
-		NewPlanners: c.newPlanners}
+		NewPlanners: c.newPlanners, EndpointTLS: c.endpointTLS}
 }
 
 // boundPlatform returns a platform client whose connections end with the authority.
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -41,6 +41,7 @@
 	peerTLS     *auth.TLS
 	endpointTLS *auth.TLS
 	platformTLS *auth.TLS
+	metricsTLS  *auth.TLS
 }
 
 // newNode connects nothing yet. self carries the addresses of the calling role only; the platform's list has the others.
@@ -69,10 +70,21 @@
 	if n.endpointTLS, err = loadTLS(s.EndpointTLS); err != nil {
 		return nil, errors.Wrap(err, "endpoint TLS")
 	}
+	if err := checkPlain("metrics", s.MetricsListen, s.MetricsTLS); err != nil {
+		return nil, err
+	}
+	if n.metricsTLS, err = loadTLS(s.MetricsTLS); err != nil {
+		return nil, errors.Wrap(err, "metrics TLS")
+	}
 	n.members = membership.New(self, n.platform)
 	dialPeer := n.dialer(telemetry.LinkPeer, 0)
 	n.clients = peer.NewClients(n.peerCredentials(), grpc.WithStatsHandler(telemetry.MessageCounter{Metrics: &t.Metrics.Link}),
-		grpc.WithContextDialer(func(ctx context.Context, addr string) (net.Conn, error) { return dialPeer(ctx, "tcp", addr) }))
+		grpc.WithContextDialer(func(ctx context.Context, addr string) (net.Conn, error) {
+			if err := checkPlain("peer", addr, s.PeerTLS); err != nil {
+				return nil, err
+			}
+			return dialPeer(ctx, "tcp", addr)
+		}))
 	n.members.OnChange(func() { n.clients.Keep(n.members.All()) })
 	n.holder.OnChange(n.countChange)
 	return n, nil
@@ -133,17 +145,14 @@
 
 // endpointOptions returns the options of clients for endpoints.
 func (n *node) endpointOptions() endpoint.Options {
-	var config *tls.Config
-	if n.endpointTLS != nil {
-		config = n.endpointTLS.ClientConfig("")
-	}
-	return endpoint.Options{TLS: config}
+	return endpoint.Options{TLS: n.endpointTLS}
 }
 
 // parts returns the parts that both roles run.
 func (n *node) parts() []Part {
-	parts := []Part{health(n.settings, n.telemetry), {Name: "members", Run: n.members.Run}}
-	for name, t := range map[string]*auth.TLS{"peer TLS": n.peerTLS, "endpoint TLS": n.endpointTLS, "platform TLS": n.platformTLS} {
+	parts := []Part{n.health(), {Name: "members", Run: n.members.Run}}
+	for name, t := range map[string]*auth.TLS{"peer TLS": n.peerTLS, "endpoint TLS": n.endpointTLS, "platform TLS": n.platformTLS,
+		"metrics TLS": n.metricsTLS} {
 		if t != nil {
 			parts = append(parts, Part{Name: name, Run: t.Run})
 		}
--- a/internal/daemon/roles.go
+++ b/internal/daemon/roles.go
@@ -9,8 +9,8 @@
 )
 
 // health returns the part that serves /metrics, /livez and /readyz. It has no drain: operators watch a stop with it.
-func health(s settings.Node, t *telemetry.Telemetry) Part {
-	part := Server("health", s.MetricsListen, nil, t.Handler())
+func (n *node) health() Part {
+	part := Server("health", n.settings.MetricsListen, serverTLS(n.metricsTLS, n.settings.MetricsTLS), n.telemetry.Handler())
 	part.Drain = nil
 	return part
 }
--- a/internal/duty/orders.go
+++ b/internal/duty/orders.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
+	"crocusglade.example/crocusglade/internal/auth"
 	"crocusglade.example/crocusglade/internal/lease"
 	"crocusglade.example/crocusglade/internal/order"
 	"crocusglade.example/crocusglade/internal/platform"
@@ -53,6 +54,8 @@
 	Rank Rank
 	// OnTerm, when not nil, is called with true when a term begins and with false when it ends.
 	OnTerm func(held bool)
+	// EndpointTLS is the identity towards engines; nil means the system's authorities and no client certificate.
+	EndpointTLS *auth.TLS
 	// Control, when not nil, replaces the control protocol of engines; for tests.
 	Control order.Control
 	// Settle replaces the wait for gateways to learn of a drain; for tests. Zero means 5 s.
@@ -98,7 +101,7 @@
 // establishLeadership takes the pool's orders over and finishes what the predecessor left half done.
 func (o *Orders) establishLeadership(a *lease.Authority) (*order.Dispatcher, error) {
 	d := order.New(order.Options{Pool: o.Pool, Holder: o.Holder, Authority: a, Store: o.Store, Provider: o.NewProvider(a),
-		Endpoint: o.endpoint, Control: o.Control})
+		Endpoint: o.endpoint, Control: o.Control, EndpointTLS: o.EndpointTLS})
 	if err := d.TakeOver(a.Context()); err != nil {
 		return nil, err
 	}
--- a/internal/e2e/answers_test.go
+++ b/internal/e2e/answers_test.go
@@ -30,7 +30,7 @@
 	c.t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	body := fmt.Sprintf(`{"model":"logreader","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, tokens, prompt)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.vms[vm].GatewayAddr+"/v1/chat/completions", strings.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url(c.vms[vm].GatewayAddr)+"/v1/chat/completions", strings.NewReader(body))
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- a/internal/e2e/calls_test.go
+++ b/internal/e2e/calls_test.go
@@ -41,7 +41,7 @@
 func (c *cluster) callWithKey(vm int, key, method, path, body string, header map[string]string) reply {
 	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.vms[vm].GatewayAddr+path, strings.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, c.url(c.vms[vm].GatewayAddr)+path, strings.NewReader(body))
 	if err != nil {
 		c.t.Error(err)
 		return reply{}
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -82,6 +83,7 @@
 	t        *testing.T
 	mem      *memplatform.Platform
 	vms      []*vm
+	hosts    []string
 	engines  map[string]*standin.Engine
 	services map[string]*standin.Service
 	pools    map[string]world.Pool
@@ -90,6 +92,8 @@
 
 	mu   sync.Mutex
 	keys map[string]string
+	// tls is nil for plain TCP.
+	tls *clusterTLS
 	// listInOutage serves the list of VMs while the rest of the platform is down.
 	listInOutage atomic.Bool
 	// issued holds every key that was ever issued.
@@ -102,6 +106,8 @@
 	services int
 	engine   standin.EngineConfig
 	service  standin.ServiceConfig
+	// tls makes every connection use TLS.
+	tls bool
 	// checksFence tells whether engines check fencing numbers.
 	checksFence bool
 	// gatewayFlags are added to each gateway's flags.
@@ -121,7 +127,14 @@
 	c := &cluster{t: t, mem: memplatform.New(), engines: make(map[string]*standin.Engine), services: make(map[string]*standin.Service),
 		pools: make(map[string]world.Pool), history: &history.History{}, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 		keys: make(map[string]string)}
-	t.Cleanup(c.client.CloseIdleConnections)
+	t.Cleanup(func() { c.client.CloseIdleConnections() })
+	number := int(clusters.Add(1)) % 250
+	for i := range vmCount {
+		c.hosts = append(c.hosts, fmt.Sprintf("127.%d.%d.%d", 16+os.Getpid()%200, number, i+1))
+	}
+	if o.tls {
+		c.tls = newClusterTLS(c)
+	}
 	c.startEndpoints(o)
 	c.layOut()
 	c.startPlatform(o)
@@ -166,13 +179,35 @@
 	c.mem.SetEndpoints(svc.Name, svc.Endpoints)
 }
 
-func (c *cluster) endpoint(name string, i int, h http.Handler, checksFence bool) world.Endpoint {
-	server := httptest.NewServer(h)
+// serve serves a stand-in until the test ends and returns its address.
+func (c *cluster) serve(h http.Handler) string {
+	server := httptest.NewUnstartedServer(h)
+	if c.tls != nil {
+		// StartTLS would add a certificate of its own.
+		server.Listener = tls.NewListener(server.Listener, c.tls.standins.ServerConfig(true))
+	}
+	server.Start()
 	c.t.Cleanup(func() {
 		server.CloseClientConnections()
 		server.Close()
 	})
-	return world.Endpoint{Name: name, Addr: server.Listener.Addr().String(), FailureDomain: failureDomains[i%len(failureDomains)],
+	return server.Listener.Addr().String()
+}
+
+// url returns the base URL of an address.
+func (c *cluster) url(addr string) string {
+	if c.tls != nil {
+		return "https://" + addr
+	}
+	return "http://" + addr
+}
+
+func (c *cluster) endpoint(name string, i int, h http.Handler, checksFence bool) world.Endpoint {
+	addr := c.serve(h)
+	if c.tls != nil {
+		addr = c.url(addr)
+	}
+	return world.Endpoint{Name: name, Addr: addr, FailureDomain: failureDomains[i%len(failureDomains)],
 		Class: world.OnDemand, State: world.EndpointReady, ChecksFence: checksFence}
 }
 
@@ -180,13 +215,11 @@
 // Each has a loopback address of its own, so that its fixed ports meet neither another cluster's nor those of outgoing
 // connections, which use 127.0.0.1.
 func (c *cluster) layOut() {
-	number := int(clusters.Add(1)) % 250
 	for i := range vmCount {
 		v := &vm{index: i, links: make(map[string][2]*fault.Relay), VM: world.VM{Name: fmt.Sprintf("vm-%d", i+1), Region: region,
 			FailureDomain: failureDomains[i%len(failureDomains)], State: world.VMLive}}
-		host := fmt.Sprintf("127.%d.%d.%d", 16+os.Getpid()%200, number, i+1)
 		for port, addr := range []*string{&v.GatewayAddr, &v.GatewayPeerAddr, &v.ControllerAddr, &v.ControllerPeerAddr, &v.gatewayMetrics, &v.controllerMetrics} {
-			*addr = net.JoinHostPort(host, fmt.Sprint(7000+port))
+			*addr = net.JoinHostPort(c.hosts[i], fmt.Sprint(7000+port))
 		}
 		log, err := os.Create(filepath.Join(c.t.TempDir(), v.Name+".log"))
 		if err != nil {
@@ -225,12 +258,7 @@
 		if o.platform != nil {
 			served = o.platform(c, v, mux)
 		}
-		server := httptest.NewServer(served)
-		c.t.Cleanup(func() {
-			server.CloseClientConnections()
-			server.Close()
-		})
-		v.platform = c.relay(server.Listener.Addr().String())
+		v.platform = c.relay(c.serve(served))
 	}
 	c.listVMs()
 }
@@ -265,18 +293,21 @@
 }
 
 func (c *cluster) flags(v *vm, role, peerAddr, metrics string) []string {
-	return []string{role, "--vm-name=" + v.Name, "--region=" + region, "--failure-domain=" + v.FailureDomain,
-		"--platform-url=http://" + v.platform.Addr(), "--peer-listen=" + peerAddr, "--metrics-listen=" + metrics,
+	flags := []string{role, "--vm-name=" + v.Name, "--region=" + region, "--failure-domain=" + v.FailureDomain,
+		"--platform-url=" + c.url(v.platform.Addr()), "--peer-listen=" + peerAddr, "--metrics-listen=" + metrics,
 		"--usage-window=" + usageWindow.String()}
+	return append(flags, c.tls.flags("peer", "platform", "endpoint", "metrics")...)
 }
 
 func (c *cluster) startController(v *vm) {
 	args := append(c.flags(v, "controller", v.ControllerPeerAddr, v.controllerMetrics), "--admin-listen="+v.ControllerAddr)
+	args = append(args, c.tls.flags("admin")...)
 	v.controller = c.spawn(v, args)
 }
 
 func (c *cluster) startGateway(v *vm, extra ...string) {
 	args := append(c.flags(v, "gateway", v.GatewayPeerAddr, v.gatewayMetrics), "--listen="+v.GatewayAddr, "--entry-lifetime=1s", "--drain-limit=60s")
+	args = append(args, c.tls.flags("caller")...)
 	v.gateway = c.spawn(v, append(args, extra...))
 }
 
@@ -311,7 +342,7 @@
 			}
 		}()
 		c.await(v.Name+" to be ready at "+addr, func() bool {
-			r, err := c.client.Get("http://" + addr + "/readyz")
+			r, err := c.client.Get(c.url(addr) + "/readyz")
 			if err != nil {
 				last = err.Error()
 				return false
@@ -380,7 +411,7 @@
 func (c *cluster) adminAt(v *vm, method, path string, data []byte, header map[string]string) (int, []byte) {
 	ctx, cancel := context.WithTimeout(context.Background(), adminLimit)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+v.ControllerAddr+"/admin/v1"+path, bytes.NewReader(data))
+	req, err := http.NewRequestWithContext(ctx, method, c.url(v.ControllerAddr)+"/admin/v1"+path, bytes.NewReader(data))
 	if err != nil {
 		c.t.Error(err)
 		return 0, nil
--- a/internal/e2e/metrics_test.go
+++ b/internal/e2e/metrics_test.go
@@ -11,7 +11,7 @@
 // scrape sums the samples of each metric family at an address; a label, such as `duty="usage"`, limits them.
 func (c *cluster) scrape(addr, family, label string) float64 {
 	c.t.Helper()
-	r, err := c.client.Get("http://" + addr + "/metrics")
+	r, err := c.client.Get(c.url(addr) + "/metrics")
 	if err != nil {
 		c.t.Errorf("scrape %s: %v", addr, err)
 		return 0
--- a/internal/e2e/orders_test.go
+++ b/internal/e2e/orders_test.go
@@ -127,7 +127,7 @@
 
 // gatherProvider adds the provider orders that arrived to the history and returns the kinds of those that were accepted.
 func (c *cluster) gatherProvider() []string {
-	resp, err := c.client.Get("http://" + c.vms[0].platform.Addr() + "/fault")
+	resp, err := c.client.Get(c.url(c.vms[0].platform.Addr()) + "/fault")
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- a/internal/e2e/rolling_test.go
+++ b/internal/e2e/rolling_test.go
@@ -55,7 +55,7 @@
 // entry asks the known VMs, or any, which addresses to use, and returns them as indexes with the end of their lifetime.
 func (c *cluster) entry(known []int) ([]int, time.Time) {
 	for _, i := range append(slices.Clone(known), 0, 1, 2, 3) {
-		resp, err := c.client.Get("http://" + c.vms[i].GatewayAddr + "/v1/entry")
+		resp, err := c.client.Get(c.url(c.vms[i].GatewayAddr) + "/v1/entry")
 		if err != nil {
 			continue
 		}
--- a/internal/endpoint/control.go
+++ b/internal/endpoint/control.go
@@ -1,7 +1,6 @@
 package endpoint
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -71,9 +70,9 @@
 			return &Error{Addr: addr, Op: uri, Reason: Invalid, Err: err}
 		}
 	}
-	req, err := http.NewRequestWithContext(w.ctx, method, c.url(addr, uri), bytes.NewReader(body))
+	req, err := newRequest(w.ctx, method, addr, uri, uri, body)
 	if err != nil {
-		return &Error{Addr: addr, Op: uri, Reason: Unreachable, Err: err}
+		return err
 	}
 	if in != nil {
 		req.Header.Set("Content-Type", "application/json")
@@ -138,9 +137,9 @@
 // late and with gaps in Seq.
 func (c *Client) CacheEvents(ctx context.Context, addr string, handle func(CacheEvent) error) error {
 	const op = "/v1/cache/events"
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url(addr, op), nil)
+	req, err := newRequest(ctx, http.MethodGet, addr, op, op, nil)
 	if err != nil {
-		return &Error{Addr: addr, Op: op, Reason: Unreachable, Err: err}
+		return err
 	}
 	resp, err := c.do(c.pooled, req, addr, op)
 	if err != nil {
--- a/internal/endpoint/data.go
+++ b/internal/endpoint/data.go
@@ -94,9 +94,9 @@
 }
 
 func (c *Client) newDataRequest(ctx context.Context, addr string, r DataRequest) (*http.Request, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url(addr, r.Path), bytes.NewReader(r.Body))
+	req, err := newRequest(ctx, http.MethodPost, addr, r.Path, r.Path, r.Body)
 	if err != nil {
-		return nil, &Error{Addr: addr, Op: r.Path, Reason: Unreachable, Err: err}
+		return nil, err
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(requestIDHeader, r.RequestID)
@@ -186,10 +186,10 @@
 func (c *Client) Resume(ctx context.Context, addr string, r DataRequest, n int) (*Stream, error) {
 	w := newWatchdog(ctx, c.opts.FirstTokenWait)
 	uri := fmt.Sprintf("/v1/requests/%s/stream?after=%d", r.RequestID, n)
-	req, err := http.NewRequestWithContext(w.ctx, http.MethodGet, c.url(addr, uri), nil)
+	req, err := newRequest(w.ctx, http.MethodGet, addr, "resume", uri, nil)
 	if err != nil {
 		w.stop()
-		return nil, &Error{Addr: addr, Op: "resume", Reason: Unreachable, Err: err}
+		return nil, err
 	}
 	req.Header.Set(requestIDHeader, r.RequestID)
 	return c.open(w, req, addr, "resume", r)
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -5,8 +5,8 @@
 package endpoint
 
 import (
+	"bytes"
 	"context"
-	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -16,6 +16,9 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"crocusglade.example/crocusglade/internal/auth"
+	"crocusglade.example/crocusglade/internal/world"
 )
 
 // DefaultDialTimeout bounds the set-up of a connection when Options has no DialContext.
@@ -95,8 +98,9 @@
 type Options struct {
 	// DialContext opens connections; controllers pass one that is bound to their authority.
 	DialContext func(ctx context.Context, network, addr string) (net.Conn, error)
-	// TLS, when not nil, makes the client speak HTTPS to endpoints.
-	TLS *tls.Config
+	// TLS is the identity towards endpoints whose address begins with https://; nil means the system's authorities and no client
+	// certificate.
+	TLS *auth.TLS
 	// FirstTokenWait bounds the wait for the start of an answer, TokenWait the wait between two chunks of a stream.
 	FirstTokenWait time.Duration
 	TokenWait      time.Duration
@@ -110,8 +114,7 @@
 
 // Client calls engines and plain services. Its methods may be called concurrently.
 type Client struct {
-	opts   Options
-	scheme string
+	opts Options
 	// pooled reuses connections. The transport may send a request again when a reused connection turns out to be
 	// closed, so it serves only requests that may be repeated.
 	pooled *http.Client
@@ -131,14 +134,10 @@
 	if o.MaxAnswerBytes == 0 {
 		o.MaxAnswerBytes = defaultMaxAnswerBytes
 	}
-	c := &Client{opts: o, scheme: "http"}
-	if o.TLS != nil {
-		c.scheme = "https"
-	}
-	c.pooled = newHTTPClient(o, false)
-	o.DialContext = guardDial(o.DialContext)
-	c.once = newHTTPClient(o, true)
-	return c
+	dialTLS := o.TLS.DialTLS(o.DialContext)
+	// The guard stands above TLS, so that it counts bytes of the call and not those of the handshake.
+	return &Client{opts: o, pooled: newHTTPClient(o.DialContext, dialTLS, false),
+		once: newHTTPClient(guardDial(o.DialContext), guardDial(dialTLS), true)}
 }
 
 func setDefault(d *time.Duration, value time.Duration) {
@@ -147,11 +146,11 @@
 	}
 }
 
-func newHTTPClient(o Options, oneRequestPerConnection bool) *http.Client {
+func newHTTPClient(dial, dialTLS auth.Dial, oneRequestPerConnection bool) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         o.DialContext,
-			TLSClientConfig:     o.TLS,
+			DialContext:         dial,
+			DialTLSContext:      dialTLS,
 			MaxIdleConnsPerHost: maxIdlePerEndpoint,
 			IdleConnTimeout:     90 * time.Second,
 			DisableCompression:  true,
@@ -168,7 +167,18 @@
 	c.once.CloseIdleConnections()
 }
 
-func (c *Client) url(addr, uri string) string { return c.scheme + "://" + addr + uri }
+// newRequest makes a request to an endpoint. It refuses plain TCP outside loopback, whoever gave the address.
+func newRequest(ctx context.Context, method, addr, op, uri string, body []byte) (*http.Request, error) {
+	url, err := world.EndpointURL(addr, uri)
+	if err != nil {
+		return nil, &Error{Addr: addr, Op: op, Reason: Unreachable, Err: err}
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, &Error{Addr: addr, Op: op, Reason: Unreachable, Err: err}
+	}
+	return req, nil
+}
 
 // do sends a request and returns the answer with any status. Sent in an error is false only when no connection was made.
 func (c *Client) do(hc *http.Client, req *http.Request, addr, op string) (*http.Response, error) {
--- a/internal/endpoint/endpoint_test.go
+++ b/internal/endpoint/endpoint_test.go
@@ -2,15 +2,19 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
+	"crocusglade.example/crocusglade/internal/auth"
+	"crocusglade.example/crocusglade/internal/certtest"
 	"crocusglade.example/crocusglade/internal/endpoint"
 	"crocusglade.example/crocusglade/internal/standin"
 	"crocusglade.example/crocusglade/internal/world"
@@ -127,6 +131,48 @@
 	}
 }
 
+// Guards against a call over TLS that a process sends too late because it was paused after the handshake, and against a refusal that
+// can't say "not run" because the handshake's bytes count as bytes of the call.
+func TestLateCallOverTLSIsNotSent(t *testing.T) {
+	files := auth.TLSFiles(certtest.NewAuthority(t, "services").Write(t.TempDir(), []string{"127.0.0.1"}))
+	identity, err := auth.LoadTLS(files)
+	if err != nil {
+		t.Fatal(err)
+	}
+	service := standin.NewService(standin.ServiceConfig{})
+	server := httptest.NewUnstartedServer(service)
+	config, paused := identity.ServerConfig(true), make(chan struct{})
+	config.GetConfigForClient = func(*tls.ClientHelloInfo) (*tls.Config, error) { <-paused; return nil, nil }
+	server.Listener = tls.NewListener(server.Listener, config)
+	server.Start()
+	defer server.Close()
+	call := endpoint.ServiceCall{Method: "POST", URI: "/x", RequestID: "a", Body: []byte("{}"), SendBefore: time.Now().Add(200 * time.Millisecond)}
+	time.AfterFunc(400*time.Millisecond, func() { close(paused) })
+	client := endpoint.New(endpoint.Options{TLS: identity})
+	defer client.Close()
+	_, err = client.Call(context.Background(), "https://"+server.Listener.Addr().String(), call)
+	if e := endpoint.AsError(err); e == nil || e.Sent || len(service.Calls()) != 0 {
+		t.Fatalf("a late call gave %v and reached the service %d times", err, len(service.Calls()))
+	}
+	call.SendBefore = time.Now().Add(time.Minute)
+	if _, err := client.Call(context.Background(), "https://"+server.Listener.Addr().String(), call); err != nil || service.Executed() != 1 {
+		t.Fatalf("a call in time gave %v", err)
+	}
+}
+
+// Guards against a request that leaves in the clear because configuration or provider gave a plain address.
+func TestPlainOutsideLoopbackIsNotDialled(t *testing.T) {
+	dialled := false
+	c := endpoint.New(endpoint.Options{DialContext: func(context.Context, string, string) (net.Conn, error) {
+		dialled = true
+		return nil, errors.New("dialled")
+	}})
+	_, err := c.Load(context.Background(), "192.0.2.1:80")
+	if e := endpoint.AsError(err); e == nil || e.Sent || dialled || !strings.Contains(err.Error(), "https://192.0.2.1:80") {
+		t.Errorf("got %v, dialled %v", err, dialled)
+	}
+}
+
 // Guards against a stale order that is taken for an accepted one, and against a lookup that loses the instance.
 func TestControlAndLookup(t *testing.T) {
 	c, ctx := newClient(t), context.Background()
--- a/internal/endpoint/fuzz_test.go
+++ b/internal/endpoint/fuzz_test.go
@@ -35,7 +35,7 @@
 		f.Add([]byte(s))
 	}
 	f.Fuzz(func(t *testing.T, body []byte) {
-		s, err := fuzzClient(body).Stream(context.Background(), "e", DataRequest{Path: ChatPath, RequestID: "r"})
+		s, err := fuzzClient(body).Stream(context.Background(), "127.0.0.1:1", DataRequest{Path: ChatPath, RequestID: "r"})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/endpoint/service.go
+++ b/internal/endpoint/service.go
@@ -1,7 +1,6 @@
 package endpoint
 
 import (
-	"bytes"
 	"context"
 	"net/http"
 	"time"
@@ -38,9 +37,9 @@
 		guard = &sendGuard{before: call.SendBefore}
 		ctx = context.WithValue(ctx, guardKey{}, guard)
 	}
-	req, err := http.NewRequestWithContext(ctx, call.Method, c.url(addr, call.URI), bytes.NewReader(call.Body))
+	req, err := newRequest(ctx, call.Method, addr, op, call.URI, call.Body)
 	if err != nil {
-		return nil, &Error{Addr: addr, Op: op, Reason: Unreachable, Err: err}
+		return nil, err
 	}
 	if call.Header != nil {
 		req.Header = call.Header.Clone()
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -14,6 +14,7 @@
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
+	"crocusglade.example/crocusglade/internal/auth"
 	"crocusglade.example/crocusglade/internal/lease"
 	"crocusglade.example/crocusglade/internal/platform"
 	"crocusglade.example/crocusglade/internal/platform/httpplatform"
@@ -48,6 +49,8 @@
 	Endpoint func(name string) (world.Endpoint, bool)
 	// SendFor bounds the tries of one order; zero means DefaultSendFor.
 	SendFor time.Duration
+	// EndpointTLS is the identity towards engines; nil means the system's authorities and no client certificate.
+	EndpointTLS *auth.TLS
 	// Control sends an order to an engine; nil means the control protocol over connections bound to Authority.
 	Control Control
 }
@@ -75,7 +78,7 @@
 		o.SendFor = DefaultSendFor
 	}
 	if o.Control == nil {
-		o.Control = newHTTPControl(o.Authority)
+		o.Control = newHTTPControl(o.Authority, o.EndpointTLS)
 	}
 	return &Dispatcher{o: o, sending: make(chan struct{}, 1), writing: make(chan struct{}, 1), queues: make(map[string]chan struct{})}
 }
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
+	"io"
+	"log"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -15,6 +18,8 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/goleak"
 
+	"crocusglade.example/crocusglade/internal/auth"
+	"crocusglade.example/crocusglade/internal/certtest"
 	"crocusglade.example/crocusglade/internal/lease"
 	"crocusglade.example/crocusglade/internal/platform"
 	"crocusglade.example/crocusglade/internal/platform/memplatform"
@@ -257,18 +262,46 @@
 	a := lease.NewAuthority(t.Context(), 7, time.Hour, nil)
 	e := world.Endpoint{Addr: server.Listener.Addr().String()}
 	o := world.Order{ID: "o1", Fence: 7, Kind: world.OrderSetRole, Value: "decode"}
-	wantErr(t, newHTTPControl(a).Order(t.Context(), e, o), nil)
+	wantErr(t, newHTTPControl(a, nil).Order(t.Context(), e, o), nil)
 	if got != o {
 		t.Errorf("sent %+v", got)
 	}
 	status = http.StatusConflict
-	wantErr(t, newHTTPControl(a).Order(t.Context(), e, o), ErrRefused)
+	wantErr(t, newHTTPControl(a, nil).Order(t.Context(), e, o), ErrRefused)
 	status = http.StatusInternalServerError
-	if err := newHTTPControl(a).Order(t.Context(), e, o); err == nil || errors.Is(err, ErrRefused) || errors.Is(err, ErrNotSent) {
+	if err := newHTTPControl(a, nil).Order(t.Context(), e, o); err == nil || errors.Is(err, ErrRefused) || errors.Is(err, ErrNotSent) {
 		t.Errorf("status 500 gave %v", err)
 	}
 	server.Close()
-	wantErr(t, newHTTPControl(a).Order(t.Context(), e, o), ErrNotSent)
+	wantErr(t, newHTTPControl(a, nil).Order(t.Context(), e, o), ErrNotSent)
 	a.End()
-	wantErr(t, newHTTPControl(a).Order(t.Context(), e, o), ErrNotSent)
+	wantErr(t, newHTTPControl(a, nil).Order(t.Context(), e, o), ErrNotSent)
+}
+
+// Guards against orders that cross the network in the clear, and against an order to an engine that can't prove its name.
+func TestControlProtocolOverTLS(t *testing.T) {
+	authority := certtest.NewAuthority(t, "engines")
+	load := func(host string) *auth.TLS {
+		loaded, err := auth.LoadTLS(auth.TLSFiles(authority.Write(t.TempDir(), []string{host})))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return loaded
+	}
+	orders := 0
+	a := lease.NewAuthority(t.Context(), 7, time.Hour, nil)
+	defer a.End()
+	for host, want := range map[string]error{"127.0.0.1": nil, "127.0.0.2": ErrNotSent, auth.PeerServerName: ErrNotSent} {
+		server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { orders++ }))
+		server.Listener = tls.NewListener(server.Listener, load(host).ServerConfig(true))
+		server.Config.ErrorLog = log.New(io.Discard, "", 0)
+		server.Start()
+		e := world.Endpoint{Addr: "https://" + server.Listener.Addr().String()}
+		wantErr(t, newHTTPControl(a, load("controller")).Order(t.Context(), e, world.Order{ID: "o1"}), want)
+		server.Close()
+	}
+	wantErr(t, newHTTPControl(a, nil).Order(t.Context(), world.Endpoint{Addr: "192.0.2.1:80"}, world.Order{ID: "o1"}), ErrNotSent)
+	if orders != 1 {
+		t.Errorf("%d orders arrived, want 1", orders)
+	}
 }
--- a/internal/order/send.go
+++ b/internal/order/send.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-faster/errors"
 
+	"crocusglade.example/crocusglade/internal/auth"
 	"crocusglade.example/crocusglade/internal/lease"
 	"crocusglade.example/crocusglade/internal/platform"
 	"crocusglade.example/crocusglade/internal/platform/httpplatform"
@@ -117,9 +118,12 @@
 }
 
 // httpControl speaks the engines' control protocol.
-type httpControl struct{ authority *lease.Authority }
+type httpControl struct {
+	authority *lease.Authority
+	tls       *auth.TLS
+}
 
-func newHTTPControl(a *lease.Authority) Control { return httpControl{a} }
+func newHTTPControl(a *lease.Authority, t *auth.TLS) Control { return httpControl{a, t} }
 
 // Order posts the order on a new connection that is bound to the authority.
 func (c httpControl) Order(ctx context.Context, e world.Endpoint, o world.Order) error {
@@ -133,12 +137,13 @@
 		return errors.Wrap(err, "encode order")
 	}
 	var connected atomic.Bool
-	transport := &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-		conn, err := c.authority.DialContext(ctx, network, addr)
-		connected.Store(connected.Load() || err == nil)
-		return conn, err
-	}}
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.Addr+"/v1/control/orders", bytes.NewReader(body))
+	transport := &http.Transport{DisableKeepAlives: true, DialContext: watchDial(c.authority.DialContext, &connected),
+		DialTLSContext: watchDial(c.tls.DialTLS(c.authority.DialContext), &connected)}
+	url, err := world.EndpointURL(e.Addr, "/v1/control/orders")
+	if err != nil {
+		return errors.Wrap(ErrNotSent, err.Error())
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return errors.Wrap(ErrNotSent, err.Error())
 	}
@@ -160,3 +165,12 @@
 	}
 	return errors.Errorf("the endpoint answered %d: %s", resp.StatusCode, strings.TrimSpace(string(text)))
 }
+
+// watchDial notes whether a connection was made, its handshake included. Without one, no byte of an order can have left.
+func watchDial(dial auth.Dial, connected *atomic.Bool) auth.Dial {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := dial(ctx, network, addr)
+		connected.Store(connected.Load() || err == nil)
+		return conn, err
+	}
+}
--- a/internal/settings/controller.go
+++ b/internal/settings/controller.go
@@ -29,7 +29,7 @@
 	f.listen(&c.AdminListen, "admin-listen", "0.0.0.0:8090", "address of the administration API")
 	f.advertise(&c.AdminAdvertise, "admin-advertise", &c.AdminListen, "admin-listen",
 		"address that operators connect to")
-	f.tlsFiles(&c.AdminTLS, "admin", "connections of operators")
+	f.serverTLS(&c.AdminTLS, "admin", "connections of operators", "admin-listen", &c.AdminListen)
 	f.secret(&c.BootstrapCredential, "bootstrap-credential",
 		"administrator credential that scoped ones are made with; none turns it off", leastSecretBytes, false)
 	f.duration(&c.StopLimit, "drain-limit", 10*time.Second,
--- a/internal/settings/ctl.go
+++ b/internal/settings/ctl.go
@@ -26,6 +26,7 @@
 func ctlForm() (*form, *Ctl) {
 	f, c := newForm("crocusgladectl", "command line of the administration API"), &Ctl{}
 	f.webURL(&c.Server, "server", "http://127.0.0.1:8090", "base URL of a controller's administration API")
+	f.securedURL(&c.Server, "server")
 	f.secret(&c.Credential, "credential", "administrator credential", 1, true)
 	f.tlsFiles(&c.TLS, "server", "connections to the administration API")
 	f.duration(&c.Timeout, "timeout", 30*time.Second, "longest wait for one call", time.Second, 10*time.Minute)
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -28,7 +28,7 @@
 	f, g := newForm("crocusgladed gateway", "serves callers on an entry VM"), &Gateway{}
 	f.listen(&g.Listen, "listen", "0.0.0.0:8080", "address for callers")
 	f.advertise(&g.Advertise, "advertise", &g.Listen, "listen", "address that callers connect to")
-	f.tlsFiles(&g.CallerTLS, "caller", "connections of callers")
+	f.serverTLS(&g.CallerTLS, "caller", "connections of callers", "listen", &g.Listen)
 	f.duration(&g.EntryLifetime, "entry-lifetime", 30*time.Second,
 		"how long callers keep an address from GET /v1/entry", time.Second, 10*time.Minute)
 	f.duration(&g.DrainLimit, "drain-limit", 10*time.Minute,
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -17,7 +17,7 @@
 
 func gatewayArgs(extra ...string) []string {
 	return append([]string{"--vm-name=vm-1", "--region=riga-gulf", "--failure-domain=roja", "--listen=127.0.0.1:8080",
-		"--peer-listen=127.0.0.1:8081", "--platform-url=http://127.0.0.1:7000/"}, extra...)
+		"--peer-listen=127.0.0.1:8081", "--metrics-listen=127.0.0.1:8082", "--platform-url=http://127.0.0.1:7000/"}, extra...)
 }
 
 // Guards against a daemon that starts with a value other than the one given, or with a wrong precedence.
@@ -46,8 +46,12 @@
 		{"no IP number", "--listen=localhost:80", "--listen"},
 		{"no port", "--peer-listen=127.0.0.1", "--peer-listen"},
 		{"advertised address unspecified", "--advertise=0.0.0.0:80", "--advertise"},
-		{"listen unspecified and not advertised", "--listen=0.0.0.0:80", "--advertise"},
+		{"listen unspecified and not advertised", "--listen=0.0.0.0:80", "--advertise --listen"},
 		{"URL without scheme", "--platform-url=10.0.0.1:70", "--platform-url"},
+		{"plain callers", "--listen=10.0.0.1:80", "--listen"},
+		{"plain peers", "--peer-listen=10.0.0.1:80", "--peer-listen"},
+		{"plain metrics", "--metrics-listen=0.0.0.0:80", "--metrics-listen"},
+		{"plain platform", "--platform-url=http://10.0.0.1:70", "--platform-url"},
 		{"duration without unit", "--entry-lifetime=30", "--entry-lifetime"},
 		{"duration out of range", "--entry-lifetime=1ms", "--entry-lifetime"},
 		{"fraction of a second", "--usage-window=10500ms", "--usage-window"},
@@ -69,7 +73,14 @@
 			if !errors.As(err, &invalid) {
 				t.Fatalf("want *Invalid, got %v", err)
 			}
-			if len(invalid.Mistakes) != 1 || invalid.Mistakes[0].Setting != c.setting || invalid.Mistakes[0].Remedy == "" {
+			var wrong []string
+			for _, m := range invalid.Mistakes {
+				wrong = append(wrong, m.Setting)
+				if m.Remedy == "" {
+					t.Errorf("%s has no remedy", m.Setting)
+				}
+			}
+			if strings.Join(wrong, " ") != c.setting {
 				t.Errorf("got %+v", invalid.Mistakes)
 			}
 		})
--- a/internal/settings/values.go
+++ b/internal/settings/values.go
@@ -12,6 +12,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"crocusglade.example/crocusglade/internal/world"
 )
 
 // nameForm is the form of names that appear in object names, addresses and metric labels.
@@ -199,3 +201,25 @@
 		}
 	})
 }
+
+// serverTLS registers the TLS files of a side that listens. Without them it may listen on loopback only.
+func (f *form) serverTLS(p *TLSFiles, side, usage, listenName string, listen *string) {
+	f.tlsFiles(p, side, usage)
+	f.later(func() {
+		address, err := netip.ParseAddrPort(*listen)
+		if err == nil && p.Cert == "" && !world.IsLoopback(address.Addr().String()) {
+			f.wrong(listenName, fmt.Sprintf("set --%s-tls-cert and --%s-tls-key, or listen on a loopback address", side, side),
+				"plain TCP on %s is not allowed", *listen)
+		}
+	})
+}
+
+// securedURL checks that a URL is plain HTTP only on loopback.
+func (f *form) securedURL(p *string, name string) {
+	f.later(func() {
+		u, err := url.Parse(*p)
+		if err == nil && u.Scheme == "http" && !world.IsLoopback(u.Hostname()) {
+			f.wrong(name, "write it as https://ADDRESS:PORT, or use a loopback address", "plain TCP to %s is not allowed", u.Host)
+		}
+	})
+}
--- a/internal/world/state.go
+++ b/internal/world/state.go
@@ -70,8 +70,9 @@
 
 // Endpoint is one replica of a model engine or plain service.
 type Endpoint struct {
-	Name          string        `json:"name" yaml:"name"`
-	Pool          string        `json:"pool,omitempty" yaml:"-"`
+	Name string `json:"name" yaml:"name"`
+	Pool string `json:"pool,omitempty" yaml:"-"`
+	// Addr is "https://host:port", or "host:port" for plain TCP on loopback.
 	Addr          string        `json:"addr" yaml:"addr"`
 	FailureDomain string        `json:"failure_domain" yaml:"failure_domain"`
 	Class         EndpointClass `json:"class" yaml:"class"`
--- a/internal/world/validate.go
+++ b/internal/world/validate.go
@@ -3,9 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"regexp"
 	"slices"
+	"strings"
 )
 
 // namePattern limits names to what fits in object paths, host names and metric labels.
@@ -80,9 +80,9 @@
 }
 
 func (m *mistakes) checkAddr(field, addr string) {
-	host, port, err := net.SplitHostPort(addr)
-	if err != nil || host == "" || port == "" || port == "0" {
-		m.add(field, "use host:port, such as 10.0.0.7:8080", "%q is not an address", addr)
+	if err := CheckEndpointAddr(addr); err != nil {
+		problem, remedy, _ := strings.Cut(err.Error(), "; ")
+		m.add(field, remedy, "%s", problem)
 	}
 }
 
--- a/internal/world/validate_test.go
+++ b/internal/world/validate_test.go
@@ -7,7 +7,7 @@
 
 // Guards against configuration mistakes that are accepted, or refused without naming the field and a remedy.
 func TestValidateObject(t *testing.T) {
-	const endpoint = `{"name":"e1","addr":"10.0.0.1:80","failure_domain":"roja","class":"on_demand"}`
+	const endpoint = `{"name":"e1","addr":"https://10.0.0.1:80","failure_domain":"roja","class":"on_demand"}`
 	cases := []struct{ name, kind, data, field string }{
 		{"valid template", KindTemplate, `{"name":"x","models":[{"model":"m"}],"routes":["r"],"priority":1,"retire":"wait","limits":{}}`, ""},
 		{"priority out of range", KindTemplate, `{"name":"x","priority":3,"retire":"wait"}`, "priority"},
@@ -26,6 +26,7 @@
 		{"service pool with model", KindPool, `{"name":"x","kind":"service","model":"m"}`, "model"},
 		{"endpoint twice", KindPool, `{"name":"x","kind":"service","endpoints":[` + endpoint + `,` + endpoint + `]}`, "endpoints[1].name"},
 		{"address without port", KindPool, `{"name":"x","kind":"service","endpoints":[{"name":"e","addr":"h","failure_domain":"d","class":"on_demand"}]}`, "endpoints[0].addr"},
+		{"plain address outside loopback", KindPool, `{"name":"x","kind":"service","endpoints":[{"name":"e","addr":"10.0.0.1:80","failure_domain":"d","class":"on_demand"}]}`, "endpoints[0].addr"},
 		{"base above the bound", KindPool, `{"name":"x","kind":"service","min_on_demand":3,"max_endpoints":2}`, "min_on_demand"},
 		{"lower-case method", KindRoute, `{"name":"x","pool":"p","idempotent_methods":["get"]}`, "idempotent_methods[0]"},
 		{"route without pool", KindRoute, `{"name":"x"}`, "pool"},
@@ -51,3 +52,21 @@
 		})
 	}
 }
+
+// Guards against requests and orders that cross a network in the clear, and against an endpoint's address that is read in two ways.
+func TestEndpointURL(t *testing.T) {
+	for addr, want := range map[string]string{
+		"127.0.0.1:80": "http://127.0.0.1:80/x", "[::1]:80": "http://[::1]:80/x", "localhost:80": "http://localhost:80/x",
+		"https://10.0.0.1:80": "https://10.0.0.1:80/x", "https://127.0.0.1:80": "https://127.0.0.1:80/x", "https://e.example:80": "https://e.example:80/x",
+		"10.0.0.1:80": "", "e.example:80": "", "http://10.0.0.1:80": "", "http://127.0.0.1:80": "", "https://10.0.0.1": "", "https://10.0.0.1:80/p": "",
+		"https://user@10.0.0.1:80": "", "0.0.0.0:80": "", ":80": "", "127.0.0.1:0": "", "": "",
+	} {
+		got, err := EndpointURL(addr, "/x")
+		if got != want || (err == nil) != (want != "") {
+			t.Errorf("%q: got %q, %v", addr, got, err)
+		}
+		if err != nil && !strings.Contains(err.Error(), "https://") {
+			t.Errorf("%q: the error names no remedy: %v", addr, err)
+		}
+	}
+}
