Keep a log of usage windows instead of listing them

Cause: the holder of the usage duty and GET /admin/v1/usage listed all kept windows. 35 days of 5-minute windows with 3,500 teams are some gigabytes, so at the size to build towards neither would end.

Change: usagelog/windows holds spans of windows and the starts of those not reported yet. Windows are read by name. The log may be behind but never ahead, so a holder that dies before it writes the log repeats reads, not reports. Administration answers in pages of 288 windows and crocusgladectl follows them.

Result: TestLogOfWindows (virtual time, 16 windows): one list at the first start and one after the log was deleted, each window reported once, also with a log that is four windows behind. It and TestWindowsExpire found that go-faster's Wrap makes an error of nil, which failed every pass; without expiry TestWindowsExpire finds the windows kept.

--- a/internal/controller/admin/operations.go
+++ b/internal/controller/admin/operations.go
@@ -3,12 +3,14 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
 	"maps"
 	"net/http"
 	"slices"
 	"strconv"
 	"sync"
 
+	"github.com/go-faster/errors"
 	"github.com/labstack/echo/v4"
 	"google.golang.org/grpc"
 
@@ -16,6 +18,7 @@
 	"crocusglade.example/crocusglade/internal/auth"
 	"crocusglade.example/crocusglade/internal/controller"
 	"crocusglade.example/crocusglade/internal/peer/peerpb"
+	"crocusglade.example/crocusglade/internal/platform"
 	"crocusglade.example/crocusglade/internal/world"
 )
 
@@ -239,17 +242,61 @@
 			*into = v
 		}
 	}
-	all, err := list[world.UsageWindow](c.Request().Context(), s, world.KindWindow)
+	page, err := s.usageWindows(c.Request().Context(), from, to)
 	if err != nil {
 		return err
 	}
-	windows := []world.UsageWindow{}
-	for _, id := range slices.Sorted(maps.Keys(all)) {
-		if start, err := strconv.ParseInt(id, 10, 64); err == nil && start >= from && start < to {
-			windows = append(windows, all[id])
+	return c.JSON(http.StatusOK, page)
+}
+
+// maxUsageWindows bounds the windows of one answer: a day of windows of five minutes.
+const maxUsageWindows = 288
+
+// usagePage is one answer about usage.
+type usagePage struct {
+	Windows []world.UsageWindow `json:"windows"`
+	// Next is the start from which to ask for the rest; 0 when this is all.
+	Next int64 `json:"next,omitempty"`
+}
+
+// usageWindows reads the kept windows that start within a time, as many as fit one answer.
+func (s *Server) usageWindows(ctx context.Context, from, to int64) (usagePage, error) {
+	page := usagePage{Windows: []world.UsageWindow{}}
+	var log world.UsageLog
+	if found, err := s.read(ctx, world.KindUsageLog, world.UsageLogName, &log); err != nil || !found {
+		return page, err
+	}
+	starts := log.Within(from, to)
+	if len(starts) > maxUsageWindows {
+		page.Next = starts[maxUsageWindows]
+		starts = starts[:maxUsageWindows]
+	}
+	for _, start := range starts {
+		var w world.UsageWindow
+		found, err := s.read(ctx, world.KindWindow, strconv.FormatInt(start, 10), &w)
+		if err != nil {
+			return page, err
 		}
+		if found {
+			page.Windows = append(page.Windows, w)
+		}
+	}
+	return page, nil
+}
+
+// read decodes an object of the system's own, or returns false when there is none.
+func (s *Server) read(ctx context.Context, kind, name string, into any) (bool, error) {
+	o, err := s.Store.Get(ctx, kind, name)
+	if errors.Is(err, platform.ErrNotFound) {
+		return false, nil
+	}
+	if err == nil {
+		err = json.Unmarshal(o.Data, into)
+	}
+	if err != nil {
+		return false, s.explain(ctx, kind, name, err)
 	}
-	return c.JSON(http.StatusOK, map[string]any{"windows": windows})
+	return true, nil
 }
 
 type burnPoint struct {
--- a/internal/ctl/api.go
+++ b/internal/ctl/api.go
@@ -124,6 +124,8 @@
 // WindowList is a list of sealed usage windows.
 type WindowList struct {
 	Windows []world.UsageWindow `json:"windows"`
+	// Next is the start from which to ask for the rest; 0 when this is all.
+	Next int64 `json:"next,omitempty"`
 }
 
 // BurnSeries is the answer of GET /admin/v1/burn.
--- a/internal/ctl/usage.go
+++ b/internal/ctl/usage.go
@@ -41,9 +41,8 @@
 			if err != nil {
 				return err
 			}
-			var list WindowList
-			path := fmt.Sprintf("/usage?from=%d&to=%d", start.Unix(), end.Unix())
-			if err := client.do(ctx, call{method: http.MethodGet, path: path}, &list); err != nil {
+			list, err := usageWindows(ctx, client, start.Unix(), end.Unix())
+			if err != nil {
 				return err
 			}
 			if team != "" {
@@ -56,6 +55,23 @@
 		}}
 }
 
+// usageWindows reads all pages of windows.
+func usageWindows(ctx context.Context, c *Client, from, to int64) (all WindowList, err error) {
+	all.Windows = []world.UsageWindow{}
+	for {
+		var page WindowList
+		path := fmt.Sprintf("/usage?from=%d&to=%d", from, to)
+		if err := c.do(ctx, call{method: http.MethodGet, path: path}, &page); err != nil {
+			return all, err
+		}
+		all.Windows = append(all.Windows, page.Windows...)
+		if page.Next <= from {
+			return all, nil
+		}
+		from = page.Next
+	}
+}
+
 // span returns the start and end of the wanted windows.
 func span(from, to string, now time.Time) (start, end time.Time, err error) {
 	end, err = instant("--to", to, now)
--- a/internal/usage/sealer.go
+++ b/internal/usage/sealer.go
@@ -1,6 +1,7 @@
 package usage
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"maps"
@@ -57,7 +58,7 @@
 // Run seals and reports every window that has ended, until the authority ends. It fits lease.Elector.Run.
 func (s *Sealer) Run(a *lease.Authority) {
 	var wait httpplatform.Backoff
-	// done is the last ended window of a pass without an error. A pass lists all windows, so it waits for the next one to end.
+	// done is the last ended window of a pass without an error.
 	done := int64(-1)
 	for a.Valid() {
 		end := s.lastEnded()
@@ -74,36 +75,32 @@
 	}
 }
 
-// pass reports sealed windows that are not reported yet, then seals and reports what has ended since, up to the window end. A window that can't be
+// pass reports windows that are not reported yet, then seals and reports what has ended since, up to the window end. A window that can't be
 // finished, such as one with a conflicting report, holds up no other window; the first error is returned.
 func (s *Sealer) pass(a *lease.Authority, end int64) error {
-	sealed, _, err := s.Store.List(a.Context(), world.KindWindow)
+	log, version, err := s.readLog(a, end)
 	if err != nil {
-		return errors.Wrap(err, "list sealed windows")
+		return err
 	}
-	length := s.length()
-	next := end
 	var failed error
-	for _, o := range sealed {
-		start, err := strconv.ParseInt(o.Name, 10, 64)
-		if err != nil {
-			continue // Not written by a sealer.
-		}
-		if err := s.finish(a, o, start); err != nil && failed == nil {
-			failed = err
+	finish := func(start int64) {
+		if err := s.finish(a, start); err != nil {
+			log.Open = append(log.Open, start)
+			failed = cmp.Or(failed, err)
 		}
 	}
-	if len(sealed) > 0 {
-		next = s.firstUnsealed(sealed)
-	} else if next, err = s.firstUsed(a, end); err != nil {
-		return err
+	open := log.Open
+	log.Open = nil
+	for _, start := range open {
+		finish(start)
 	}
-	for ; next <= end; next += length {
-		if _, err := s.Seal(a, next); err != nil && failed == nil {
-			failed = err
-		}
+	length := s.length()
+	for next, _ := log.Next(length); next <= end; next += length {
+		log.Add(next, length)
+		finish(next)
 	}
-	return failed
+	failed = cmp.Or(failed, s.expire(a, &log))
+	return cmp.Or(failed, s.writeLog(a, log, version))
 }
 
 // lastEnded returns the start of the last window that has ended.
@@ -112,17 +109,6 @@
 	return time.Now().Unix()/length*length - length
 }
 
-// firstUnsealed returns the start of the window after the newest sealed one. Windows are sealed in order.
-func (s *Sealer) firstUnsealed(sealed []world.Object) int64 {
-	var next int64
-	for _, o := range sealed {
-		if start, err := strconv.ParseInt(o.Name, 10, 64); err == nil {
-			next = max(next, start+s.length())
-		}
-	}
-	return next
-}
-
 // firstUsed returns the start of the oldest window that any gateway holds counters of, for a store without sealed windows. It
 // is at most end, the last window that has ended.
 func (s *Sealer) firstUsed(a *lease.Authority, end int64) (int64, error) {
@@ -138,21 +124,32 @@
 	return max(first, kept/s.length()*s.length()), err
 }
 
-// finish reports a sealed window if needed, and deletes it after its retention.
-func (s *Sealer) finish(a *lease.Authority, o world.Object, start int64) error {
-	var w world.UsageWindow
-	if err := json.Unmarshal(o.Data, &w); err != nil {
-		return errors.Wrapf(err, "window %s is not readable; repair the object", o.Name)
+// finish seals a window and reports it, as far as that has not been done.
+func (s *Sealer) finish(a *lease.Authority, start int64) error {
+	w, version, err := s.readWindow(a.Context(), start)
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		_, err = s.Seal(a, start)
+		return err
+	case err != nil || w.Reported:
+		return err
 	}
-	if !w.Reported {
-		return s.report(a, w, o.Version)
+	return s.report(a, w, version)
+}
+
+func (s *Sealer) readWindow(ctx context.Context, start int64) (w world.UsageWindow, version uint64, err error) {
+	o, err := s.Store.Get(ctx, world.KindWindow, windowName(start))
+	if err != nil {
+		return w, 0, errors.Wrap(err, "read usage window")
 	}
-	if time.Since(time.Unix(start, 0)) > sealedKept && a.Valid() {
-		return s.Store.Delete(a.Context(), world.KindWindow, o.Name, o.Version)
+	if err := json.Unmarshal(o.Data, &w); err != nil {
+		return w, 0, errors.Wrapf(err, "window %s is not readable; repair the object", o.Name)
 	}
-	return nil
+	return w, o.Version, nil
 }
 
+func windowName(start int64) string { return strconv.FormatInt(start, 10) }
+
 // Seal collects a window, seals it and reports the sealed figures. When another process sealed it first, those figures are
 // the ones that are reported and returned.
 func (s *Sealer) Seal(a *lease.Authority, window int64) (world.UsageWindow, error) {
@@ -170,7 +167,7 @@
 // ReadSealed returns a function for Options.Sealed that reads sealed windows from the platform.
 func ReadSealed(store platform.Store) func(ctx context.Context, window int64) (*world.UsageWindow, error) {
 	return func(ctx context.Context, window int64) (*world.UsageWindow, error) {
-		o, err := store.Get(ctx, world.KindWindow, strconv.FormatInt(window, 10))
+		o, err := store.Get(ctx, world.KindWindow, windowName(window))
 		if errors.Is(err, platform.ErrNotFound) {
 			return nil, nil
 		}
@@ -248,7 +245,7 @@
 	for _, name := range missing {
 		covered[name] = true
 	}
-	w := world.UsageWindow{ID: strconv.FormatInt(window, 10), Sealer: s.Holder, Fence: a.Fence(), Teams: make(map[string]world.Usage),
+	w := world.UsageWindow{ID: windowName(window), Sealer: s.Holder, Fence: a.Fence(), Teams: make(map[string]world.Usage),
 		Covered: make(map[string]map[string]world.Usage)}
 	for k, u := range counters {
 		w.Teams[k.team] = plus(w.Teams[k.team], u)
--- a/internal/world/config.go
+++ b/internal/world/config.go
@@ -22,6 +22,8 @@
 	KindOrders = "orders"
 	KindClaims = "claims"
 	KindWindow = "window"
+	// KindUsageLog holds one object, UsageLogName.
+	KindUsageLog = "usagelog"
 )
 
 // ConfigKinds are the kinds that snapshots carry. Orders are among them so that gateways see drained endpoints.
