Keep requests under which an engine died apart

Cause: each request on an engine that crashes counts a death, and all are tried again at the same moment. A trace showed the killing request and one or two innocent ones of the first engine meet on the second, which quarantined all of them for 10 minutes. Change: a suspect waits up to 1 s for an endpoint without other suspects of its gateway, first among the endpoints that this gateway alone uses for suspects, then anywhere; after the wait it goes where others go. A whole run clears a suspect at its gateway.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -22,6 +22,12 @@
 	Adapter string
 	// Exclude names endpoints that must not be chosen, such as those that failed this request.
 	Exclude []string
+	// Suspect is the fingerprint of a request under which an endpoint died; 0 for others. Suspects are kept apart while other
+	// endpoints can take them.
+	Suspect uint64
+
+	apart     apartness
+	onlyApart bool
 }
 
 // BlockTokens is the number of prompt tokens in one prefix block.
@@ -49,6 +55,7 @@
 	balancer *Balancer
 	state    *endpointState
 	work     work
+	suspect  uint64
 	probe    bool
 	prefill  bool // true until the first token or the end
 	finished bool
--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -29,6 +29,8 @@
 	pools     map[string]*pool
 	endpoints map[string]*endpointState
 	index     cacheIndex
+	// owns is set by SetOwner.
+	owns func(endpoint string) bool
 	// onEject is called, under the lock, when an endpoint of a pool is ejected.
 	onEject func(pool string)
 	// pending holds the sends that neighbours have not been told of.
@@ -72,6 +74,12 @@
 	}
 	p.order(b.subsetKey)
 	p.narrow(now)
+	if best, found := b.bestApart(p, &r, now); found {
+		return b.take(best, &r, now), nil
+	}
+	if r.onlyApart {
+		return nil, b.refusal(p, &r, now)
+	}
 	for {
 		best, found := b.best(p, &r, now)
 		if found {
@@ -165,6 +173,7 @@
 	s := c.state
 	w := work{at: now, tokens: float64(r.PromptTokens - c.cached), requests: 1, pieces: pieces(r.PromptTokens-c.cached) + pieces(r.OutputTokens)}
 	s.addOwn(w)
+	s.addSuspect(r.Suspect)
 	s.pool.noteSize(w)
 	probe := s.ejection.beginProbe()
 	sent := b.pending[s.Name]
@@ -174,7 +183,7 @@
 	return &Choice{
 		Endpoint: s.Endpoint.Endpoint, Instance: s.Load.Instance, CachedTokens: c.cached,
 		Predicted: time.Duration(c.firstWait * float64(time.Second)),
-		balancer:  b, state: s, work: w, probe: probe, prefill: true,
+		balancer:  b, state: s, work: w, suspect: r.Suspect, probe: probe, prefill: true,
 	}
 }
 
@@ -201,6 +210,7 @@
 	}
 	now := time.Now()
 	c.state.removeOwn(c.work, now)
+	c.state.removeSuspect(c.suspect)
 	if b.endpoints[c.state.Name] == c.state {
 		ended := b.pending[c.state.Name]
 		ended.Requests--
--- a/internal/balancer/state.go
+++ b/internal/balancer/state.go
@@ -49,7 +49,9 @@
 	ownPrefill  float64
 	response    float64 // moving average of the time to the first byte in seconds
 	ejection    ejection
-	cache       cacheState
+	// suspects counts this gateway's requests in progress under which another endpoint died, by fingerprint.
+	suspects map[uint64]int
+	cache    cacheState
 }
 
 // pieces returns the KV pieces that hold the tokens. One piece holds one prefix block.
@@ -81,7 +83,7 @@
 func (b *Balancer) add(poolName string, e Endpoint) *endpointState {
 	p := b.pools[poolName]
 	if p == nil {
-		p = &pool{name: poolName}
+		p = &pool{name: poolName, owns: b.owns}
 		b.pools[poolName] = p
 	}
 	s := &endpointState{Endpoint: e, pool: p}
@@ -285,6 +287,9 @@
 
 // eligible tells whether the endpoint may run the request now: it is neither ejected nor saturated.
 func (s *endpointState) eligible(r *Request, now time.Time) bool {
+	if r.apart != apartAnyway && !s.apartFrom(r) {
+		return false
+	}
 	return !s.ejection.excluded(now) && s.serves(r) && !s.full(r, now)
 }
 
--- a/internal/balancer/subset.go
+++ b/internal/balancer/subset.go
@@ -22,7 +22,9 @@
 
 // pool is a pool's endpoints in this gateway's rendezvous order; a subset is a prefix of it.
 type pool struct {
-	name      string
+	name string
+	// owns is the balancer's, or nil.
+	owns      func(endpoint string) bool
 	members   []*endpointState
 	unordered bool
 	widened   int // the base subset is doubled so many times
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -104,6 +104,7 @@
 	g.subscriber = config.NewSubscriber(s.VMName, "gateway", g.holder, g.freshness, g.members.Parents, g.clients.DialController)
 	g.readiness = peer.NewReadiness(g.mesh, g.subscriber.Synced)
 	g.entry = &entry{self: g.self, members: g.members, mesh: g.mesh}
+	g.balancer.SetOwner(g.entry.owns)
 	copier := &usageCopier{node: base, mesh: g.mesh}
 	g.ledger = usage.NewLedger(usage.Options{Incarnation: s.VMName + "." + g.incarnation, WindowLength: int64(s.WindowLength / time.Second),
 		Peers: copier.peers, Copier: copier, Sealed: usage.ReadSealed(g.platform),
--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -185,6 +185,16 @@
 	return out
 }
 
+// owns tells whether this gateway, of those that serve, is the one that uses an endpoint for requests under which another died.
+func (e *entry) owns(endpoint string) bool {
+	var names []string
+	for _, vm := range e.serving() {
+		names = append(names, vm.Name)
+	}
+	first := membership.Rendezvous(endpoint, names, 1)
+	return len(first) == 1 && first[0] == e.self.Name
+}
+
 // sharing returns how many gateways share the pools: all live VMs, without the neighbours that are known not to serve.
 func (e *entry) sharing() int {
 	neighbours := e.members.Neighbours()
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -243,6 +243,7 @@
 // settleService records usage and hands a service's answer to the caller.
 func (g *Gateway) settleService(ctx context.Context, s *serviceCall, a *answer, got *endpoint.ServiceAnswer) {
 	s.firstAt = time.Now()
+	g.opts.Quarantine.Clear(s.fingerprint)
 	g.recordUsage(ctx, s.call, endpoint.Usage{})
 	header := got.Header.Clone()
 	for _, name := range hopHeaders {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -89,6 +89,9 @@
 	if until.IsZero() {
 		until = time.Now().Add(chooseWait)
 	}
+	if g.opts.Quarantine.Suspect(c.fingerprint) {
+		place.Suspect = c.fingerprint
+	}
 	choice, err := g.opts.Balancer.ChooseWithin(ctx, *place, until)
 	if err != nil {
 		return nil, err
@@ -233,6 +236,7 @@
 
 // complete records usage and then sends the end marker.
 func (s *streamRun) complete(ctx context.Context) {
+	s.g.opts.Quarantine.Clear(s.m.fingerprint)
 	s.g.recordUsage(ctx, s.m.call, *s.usage)
 	s.a.write([]byte("data: [DONE]\n\n"))
 	s.a.complete()
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -28,6 +28,7 @@
 		}
 		whole, err := g.attemptWhole(ctx, m, choice)
 		if err == nil {
+			g.opts.Quarantine.Clear(m.fingerprint)
 			g.recordUsage(ctx, m.call, whole.Usage)
 			a.settle(http.StatusOK, http.Header{"Content-Type": {jsonType}}, whole.Body)
 			return
--- a/internal/measure/baseline_test.go
+++ b/internal/measure/baseline_test.go
@@ -23,15 +23,15 @@
 // chooser is the choice of an endpoint, ours or a baseline.
 type chooser interface {
 	update(pool string, e balancer.Endpoint)
-	choose(r balancer.Request) (placement, error)
+	choose(ctx context.Context, r balancer.Request, until time.Time) (placement, error)
 }
 
 // ours is the real balancer.
 type ours struct{ *balancer.Balancer }
 
 func (o ours) update(pool string, e balancer.Endpoint) { o.Update(pool, e) }
-func (o ours) choose(r balancer.Request) (placement, error) {
-	c, err := o.Choose(r)
+func (o ours) choose(ctx context.Context, r balancer.Request, until time.Time) (placement, error) {
+	c, err := o.ChooseWithin(ctx, r, until)
 	if err != nil {
 		return placement{}, err
 	}
@@ -78,7 +78,7 @@
 	b.endpoints[pool] = append(list, e)
 }
 
-func (b *baseline) choose(r balancer.Request) (placement, error) {
+func (b *baseline) choose(_ context.Context, r balancer.Request, _ time.Time) (placement, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var open []string
--- a/internal/measure/choice_test.go
+++ b/internal/measure/choice_test.go
@@ -61,5 +61,23 @@
 			t.Errorf("%s: only %s in time", d.name, figures[predicted].inTime.percent())
 		}
 		t.Logf("%s %v", d.name, rows)
+		if !short() {
+			measureGaps(t, r, d, figures[predicted])
+		}
+	}
+}
+
+// measureGaps compares what a gap in an engine's cache events does to its known prefixes.
+func measureGaps(t *testing.T, r *report, d deployment, unsure *choiceFigures) {
+	forget := &choiceFigures{}
+	for _, results := range eachSeed(t, func(t *testing.T, seed uint64) []result {
+		return run(t, d, record(seed, runLength(), gateways, d.streams), seed, rules{choice: predicted, resetOnGap: true})
+	}) {
+		forget.add(d, results)
 	}
+	r.printf("After a gap in an engine's cache events:\n\n")
+	row := func(name string, f *choiceFigures) []string { return []string{name, f.p50.millis(), f.p95.millis(), f.inTime.percent()} }
+	rows := [][]string{row("known prefixes become unsure (ours)", unsure), row("known prefixes are forgotten", forget)}
+	r.table([]string{"rule", "p50", "p95", "in time"}, rows)
+	t.Logf("%s %v", d.name, rows)
 }
--- a/internal/measure/cluster_test.go
+++ b/internal/measure/cluster_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +15,7 @@
 	"crocusglade.example/crocusglade/internal/admission"
 	"crocusglade.example/crocusglade/internal/apierror"
 	"crocusglade.example/crocusglade/internal/balancer"
+	"crocusglade.example/crocusglade/internal/membership"
 	"crocusglade.example/crocusglade/internal/retry"
 	"crocusglade.example/crocusglade/internal/world"
 )
@@ -49,9 +51,17 @@
 	silent bool
 	// tellFirst tells the neighbours of a death before the caller is answered or the request is tried again.
 	tellFirst bool
-	teams     map[string]admission.TeamConfig
+	// continues retries requests after their first token too, as a gateway continues streams.
+	continues bool
+	// resetOnGap forgets an engine's prefixes when events of its cache are lost; without it they become unsure.
+	resetOnGap bool
+	// together leaves suspects where the choice puts them.
+	together bool
+	teams    map[string]admission.TeamConfig
 	// disturb runs beside the work and changes the fleet.
 	disturb func(ctx context.Context, c *cluster)
+	// finished looks at the cluster after the last request.
+	finished func(c *cluster)
 }
 
 // result is what became of one request.
@@ -81,7 +91,9 @@
 	gateways []*gateway
 	engines  map[string]*engine
 	names    []string // engines in order
-	begin    time.Time
+	// crashes counts crashes of engines, suspects requests that were on one.
+	crashes, suspects atomic.Int64
+	begin             time.Time
 }
 
 // run replays the work and returns one result for each request.
@@ -117,6 +129,9 @@
 			cancel()
 		})
 		callers.Wait()
+		if r.finished != nil {
+			r.finished(c)
+		}
 		stuck.Stop()
 		cancel()
 		background.Wait()
@@ -143,9 +158,16 @@
 			teams[s.team] = admission.TeamConfig{Weight: 1}
 		}
 	}
+	gatewayNames := make([]string, gateways)
+	for i := range gateways {
+		gatewayNames[i] = fmt.Sprint("vm", i)
+	}
 	for i := range gateways {
-		g := &gateway{name: fmt.Sprint("vm", i), choice: newChooser(r.choice, seed*10+uint64(i)), budget: retry.NewBudget(0.1),
+		g := &gateway{name: gatewayNames[i], choice: newChooser(r.choice, seed*10+uint64(i)), budget: retry.NewBudget(0.1),
 			quarantine: retry.NewQuarantine(10 * time.Minute)}
+		if b, real := g.choice.(ours); real {
+			b.SetOwner(func(e string) bool { return membership.Rendezvous(e, gatewayNames, 1)[0] == g.name })
+		}
 		if r.fifo {
 			g.queue = newFIFO()
 		} else {
@@ -160,7 +182,9 @@
 }
 
 func (c *cluster) addEngine(name, pool, domain string, kind engineKind, seed uint64) {
-	c.engines[name] = newEngine(world.Endpoint{Name: name, Pool: pool, FailureDomain: domain, Class: world.OnDemand, State: world.EndpointReady}, kind, seed)
+	e := newEngine(world.Endpoint{Name: name, Pool: pool, FailureDomain: domain, Class: world.OnDemand, State: world.EndpointReady}, kind, seed)
+	e.onCrash = func() { c.crashes.Add(1) }
+	c.engines[name] = e
 	c.names = append(c.names, name)
 }
 
@@ -195,6 +219,8 @@
 			b, real := g.choice.(ours)
 			switch {
 			case !real:
+			case lost && c.resetOnGap:
+				b.CacheEvent(e.Name, nil, nil, true)
 			case lost:
 				b.CacheGap(e.Name)
 			default:
@@ -268,7 +294,7 @@
 func (c *cluster) handle(ctx context.Context, g *gateway, w *request) result {
 	res := result{request: w}
 	begin := time.Now()
-	fingerprint := retry.Fingerprint(w.team, w.pool, fmt.Append(nil, w.at))
+	fingerprint := w.fingerprint()
 	if !c.plainRetries && g.quarantine.Blocked(fingerprint) {
 		res.refused, res.kind = true, apierror.Quarantined
 		return res
@@ -284,12 +310,16 @@
 	record := retry.NewRecord(fingerprint, true, begin.Add(w.patience))
 	for {
 		endpoint, err := c.try(ctx, g, w, record, &res, begin)
+		if err == nil {
+			g.quarantine.Clear(fingerprint)
+		}
 		if err == nil || endpoint == "" {
 			return res
 		}
 		died := errors.Is(err, errDied)
 		record.Failed(endpoint, died, g.quarantine)
 		if died {
+			c.suspects.Add(1)
 			c.tellDeath(ctx, g, fingerprint, endpoint)
 		}
 		if c.plainRetries {
@@ -298,7 +328,7 @@
 			}
 			return res
 		}
-		if res.first > 0 || !record.MayRetry(w.pool, g.budget, g.quarantine) {
+		if res.first > 0 && !c.continues || !record.MayRetry(w.pool, g.budget, g.quarantine) {
 			return res
 		}
 	}
@@ -309,7 +339,11 @@
 	var p placement
 	for {
 		var err error
-		p, err = g.choice.choose(balancer.Request{Pool: w.pool, PromptTokens: w.prompt, OutputTokens: w.output, Prefix: w.prefix, Exclude: record.Exclude()})
+		place := balancer.Request{Pool: w.pool, PromptTokens: w.prompt, OutputTokens: w.output, Prefix: w.prefix, Exclude: record.Exclude()}
+		if fingerprint := w.fingerprint(); !c.together && g.quarantine.Suspect(fingerprint) {
+			place.Suspect = fingerprint
+		}
+		p, err = g.choice.choose(ctx, place, begin.Add(w.patience))
 		if err == nil {
 			break
 		}
--- a/internal/measure/engine_test.go
+++ b/internal/measure/engine_test.go
@@ -51,6 +51,8 @@
 	instance int
 	failing  float64 // share of requests that fail
 	kills    bool    // the engine dies of crashing requests
+	onCrash  func()
+	downtime time.Duration // after which a crashed engine starts by itself; 0 means never
 	rng      *rand.Rand
 }
 
@@ -81,8 +83,9 @@
 	e.mu.Lock()
 	died := e.died
 	if e.dead {
+		// No connection can be made, so the request does not see the engine die.
 		e.mu.Unlock()
-		return errDied
+		return errFailed
 	}
 	if e.failing > 0 && e.rng.Float64() < e.failing {
 		e.mu.Unlock()
@@ -197,6 +200,10 @@
 	if !e.dead {
 		e.dead = true
 		close(e.died)
+		e.onCrash()
+		if e.downtime > 0 {
+			time.AfterFunc(e.downtime, e.restart)
+		}
 	}
 }
 
--- a/internal/measure/retry_test.go
+++ b/internal/measure/retry_test.go
@@ -143,4 +143,5 @@
 	}
 	r.table([]string{"rule", "engines killed"}, rows)
 	t.Logf("%v", rows)
+	measureBlame(t, r)
 }
--- a/internal/measure/work_test.go
+++ b/internal/measure/work_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"crocusglade.example/crocusglade/internal/balancer"
+	"crocusglade.example/crocusglade/internal/retry"
 	"crocusglade.example/crocusglade/internal/world"
 )
 
@@ -29,6 +31,10 @@
 
 func (r *request) tokens() int { return r.prompt + r.output }
 
+func (r *request) fingerprint() uint64 {
+	return retry.Fingerprint(r.team, r.pool, fmt.Append(nil, r.at))
+}
+
 // stream is one team's stream of similar requests.
 type stream struct {
 	team      string
--- a/internal/retry/quarantine.go
+++ b/internal/retry/quarantine.go
@@ -91,6 +91,16 @@
 	return r.blocked
 }
 
+// Clear forgets the death of a request that has run whole since: a request that crashes endpoints never does. A quarantined request
+// stays quarantined.
+func (q *Quarantine) Clear(fingerprint uint64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if r := q.records[fingerprint]; r != nil && !r.blocked {
+		delete(q.records, fingerprint)
+	}
+}
+
 // Add quarantines a request for the given time, as reported by a neighbour. The time is bounded by the quarantine's own.
 func (q *Quarantine) Add(fingerprint uint64, remaining time.Duration) {
 	if remaining <= 0 {
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -88,6 +88,22 @@
 	})
 }
 
+// Guards against a request that is quarantined for two crashes of others although it ran whole between them, and against a whole run
+// that ends a quarantine.
+func TestWholeRunClears(t *testing.T) {
+	q := NewQuarantine(time.Minute)
+	q.Death(1, "e1")
+	q.Clear(1)
+	if q.Suspect(1) || q.Death(1, "e2") {
+		t.Error("a death before a whole run still counts")
+	}
+	q.Death(1, "e3")
+	q.Clear(1)
+	if !q.Blocked(1) {
+		t.Error("a quarantine was cleared")
+	}
+}
+
 // Guards against memory that grows with made-up requests, and against losing quarantined ones to suspects.
 func TestQuarantineIsBounded(t *testing.T) {
 	q := NewQuarantine(time.Hour)
