Keep an engine's known prefixes as unsure after a gap

Change: the load stream tells gaps (cache_gap), and gateways keep the blocks as unsure. A reset remains for a new subscription, which does not know what an earlier one told, and when lost removals let more blocks pile up than the engine can hold.

--- a/internal/controller/collector.go
+++ b/internal/controller/collector.go
@@ -203,7 +203,7 @@
 		Instance: l.Instance}
 }
 
-// readCache follows an endpoint's cache events. A gap or a new stream resets what subscribers know.
+// readCache follows an endpoint's cache events. After a gap or a new stream subscribers keep what they know as unsure.
 func (c *Collector) readCache(ctx context.Context, r *report, e world.Endpoint) {
 	for ctx.Err() == nil {
 		c.mu.Lock()
--- a/internal/controller/loadserver.go
+++ b/internal/controller/loadserver.go
@@ -203,7 +203,12 @@
 	now := time.Now()
 	e.budget = math.Min(perSecond*cacheBurst, e.budget+perSecond*now.Sub(e.budgetAt).Seconds())
 	e.budgetAt = now
-	if m.CacheReset = r.lost > e.cacheSeq; m.CacheReset {
+	// A new subscription does not know which blocks an earlier one told, so it could not tell their removal. Removals that are lost
+	// in gaps would let the told blocks grow without bound.
+	lost := r.lost > e.cacheSeq
+	m.CacheReset = lost && (e.cacheSeq == 0 || len(e.blocks) > maxTold(r.load))
+	m.CacheGap = lost && !m.CacheReset
+	if m.CacheReset {
 		clear(e.blocks)
 	}
 	stored, removed := r.cacheSince(e.cacheSeq)
@@ -226,6 +231,10 @@
 	}
 }
 
+// maxTold is the number of blocks that a subscriber may have been told of at a gap: a quarter more than the endpoint can hold, as much as
+// the balancer keeps.
+func maxTold(l *peerpb.EndpointLoad) int { return int(l.KvTotal + l.KvTotal/4) }
+
 // figures returns the part of a report that changes all the time.
 func figures(l *peerpb.EndpointLoad) *peerpb.EndpointLoad {
 	return &peerpb.EndpointLoad{Running: l.Running, Waiting: l.Waiting, QueuedPrefillTokens: l.QueuedPrefillTokens, KvFree: l.KvFree}
@@ -236,7 +245,7 @@
 	out := proto.Clone(description).(*peerpb.EndpointLoad)
 	out.Running, out.Waiting, out.QueuedPrefillTokens, out.KvFree = m.Running, m.Waiting, m.QueuedPrefillTokens, m.KvFree
 	out.AgeMs, out.Ref = m.AgeMs, m.Ref
-	out.CacheStored, out.CacheRemoved, out.CacheReset = m.CacheStored, m.CacheRemoved, m.CacheReset
+	out.CacheStored, out.CacheRemoved, out.CacheReset, out.CacheGap = m.CacheStored, m.CacheRemoved, m.CacheReset, m.CacheGap
 	return out
 }
 
--- a/internal/controller/loadsubscriber.go
+++ b/internal/controller/loadsubscriber.go
@@ -34,6 +34,7 @@
 	Update(pool string, e balancer.Endpoint)
 	Remove(pool, name string)
 	CacheEvent(endpoint string, stored, removed []uint64, reset bool)
+	CacheGap(endpoint string)
 }
 
 // LoadSubscriber feeds a balancer from the controllers, the provider's lists and the configuration. Endpoints that are listed are known at
@@ -277,6 +278,9 @@
 		if old, ok := s.reported[m.Name]; !ok || !e.ReportedAt.Before(old.ReportedAt) || m.Instance != old.Load.Instance {
 			s.reported[m.Name] = reportedEndpoint{e, time.Now()}
 		}
+		if m.CacheGap {
+			s.balancer.CacheGap(m.Name)
+		}
 		if len(m.CacheStored)+len(m.CacheRemoved) > 0 || m.CacheReset {
 			s.balancer.CacheEvent(m.Name, m.CacheStored, m.CacheRemoved, m.CacheReset)
 		}
--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -326,6 +326,9 @@
 // CacheEvent implements controller.Balancer. Planners don't use the cache.
 func (f *fleetTable) CacheEvent(string, []uint64, []uint64, bool) {}
 
+// CacheGap implements controller.Balancer.
+func (f *fleetTable) CacheGap(string) {}
+
 // Pool implements duty.Fleet.
 func (f *fleetTable) Pool(name string) (world.Pool, bool) {
 	p := f.holder.Current().Pool(name)
