Tell the list of VMs to a gateway that starts in an outage

Cause: a gateway learns the addresses of others from the platform alone, so one that started while the platform was out did not serve until it was back, although its neighbours know the list. Change: a gateway without a list says so in its exchange and its status. Neighbours in contact, whose list is the platform's, tell it to those that are silent or say that they lack it. Ruled out: addresses of peers in the settings (a process learns only its own); asking the last callers, which know no peer addresses and can't be believed; taking one neighbour's list, which may be old.

--- a/internal/measure/choice_test.go
+++ b/internal/measure/choice_test.go
@@ -76,7 +76,9 @@
 		forget.add(d, results)
 	}
 	r.printf("After a gap in an engine's cache events:\n\n")
-	row := func(name string, f *choiceFigures) []string { return []string{name, f.p50.millis(), f.p95.millis(), f.inTime.percent()} }
+	row := func(name string, f *choiceFigures) []string {
+		return []string{name, f.p50.millis(), f.p95.millis(), f.inTime.percent()}
+	}
 	rows := [][]string{row("known prefixes become unsure (ours)", unsure), row("known prefixes are forgotten", forget)}
 	r.table([]string{"rule", "p50", "p95", "in time"}, rows)
 	t.Logf("%s %v", d.name, rows)
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -54,6 +54,8 @@
 	collectors *sync.Map
 	// listed holds the names in the platform's list; nil before the first list.
 	listed map[string]bool
+	// adopted is true for a list that neighbours told.
+	adopted bool
 }
 
 // New returns members that know only self, the VM that the process runs on according to its settings.
@@ -125,6 +127,27 @@
 	}
 }
 
+// FromPlatform tells whether the list was read from the platform.
+func (m *Members) FromPlatform() bool { return m.view.Load().listed != nil }
+
+// Known tells whether there is a list, from the platform or from neighbours.
+func (m *Members) Known() bool { v := m.view.Load(); return v.listed != nil || v.adopted }
+
+// Adopt takes a list that neighbours told while the platform is out. A list from the platform goes before it. Listed does not count it.
+func (m *Members) Adopt(vms []world.VM) {
+	next := newView(m.self, vms)
+	next.listed, next.adopted = nil, true
+	old := m.view.Load()
+	if old.listed != nil || old.adopted || !m.view.CompareAndSwap(old, next) {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, f := range m.notify {
+		f()
+	}
+}
+
 // OnChange registers a function that is called after each change of the list. Register before Run.
 func (m *Members) OnChange(f func()) {
 	m.mu.Lock()
--- a/internal/peer/contact.go
+++ b/internal/peer/contact.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"crocusglade.example/crocusglade/internal/config"
-	"crocusglade.example/crocusglade/internal/membership"
 	"crocusglade.example/crocusglade/internal/peer/peerpb"
 	"crocusglade.example/crocusglade/internal/world"
 )
@@ -132,10 +131,8 @@
 // ready. Asking for 3 would keep two gateways that restart together in an outage from ever serving again.
 func (m *Mesh) loadMajority(ctx context.Context) bool {
 	live := m.members.Live()
-	asked, need := m.members.Neighbours(), len(live)-len(live)/2
-	if len(live) > membership.MaxNeighbours {
-		need = len(asked)/2 + 1
-	}
+	asked := m.members.Neighbours()
+	need := snapshotsNeeded(len(live), len(asked))
 	answers := make(chan *peerpb.ConfigUpdate, len(asked))
 	for _, vm := range asked {
 		go func() { answers <- m.readySnapshot(ctx, vm) }()
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -78,6 +78,8 @@
 	gone        bool
 	outbox      *outbox
 	incarnation string
+	// lacksMembers is true while the neighbour has no list of VMs.
+	lacksMembers bool
 }
 
 // Mesh exchanges updates with the neighbours of a gateway, with one conversation for each. The VM with the smaller name dials.
@@ -93,13 +95,16 @@
 	mu         sync.Mutex
 	neighbours map[string]*neighbour
 	dialing    map[string]context.CancelFunc
+	told       map[string]toldList
 	wg         sync.WaitGroup
+	// introducedAt is the last look for neighbours without a list of VMs.
+	introducedAt time.Time
 }
 
 // NewMesh returns the exchange of the gateway on VM self.
 func NewMesh(self, incarnation string, m *membership.Members, c *Clients, h *config.Holder, f *config.Freshness, l Local, r Remote) *Mesh {
 	return &Mesh{self: self, incarnation: incarnation, members: m, clients: c, holder: h, freshness: f, local: l, remote: r,
-		neighbours: make(map[string]*neighbour), dialing: make(map[string]context.CancelFunc)}
+		neighbours: make(map[string]*neighbour), dialing: make(map[string]context.CancelFunc), told: make(map[string]toldList)}
 }
 
 // Run exchanges updates until ctx ends.
@@ -114,6 +119,7 @@
 		m.collect()
 		m.dropSilent()
 		m.catchUp(ctx)
+		m.introduce(ctx)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -246,7 +252,7 @@
 	u.Vm, u.Incarnation = m.self, m.incarnation
 	now := m.holder.Current()
 	u.Revision, u.ConfigDigest, u.PlatformAgeMs = now.Revision(), now.OperatorsDigest(), m.freshness.AgeMS()
-	u.Draining = m.local.Draining()
+	u.Draining, u.LacksMembers = m.local.Draining(), !m.members.Known()
 	return u
 }
 
@@ -259,7 +265,7 @@
 	m.mu.Lock()
 	n := m.neighbour(u.Vm)
 	n.heard, n.revision, n.draining, n.gone = time.Now(), u.Revision, u.Draining, false
-	n.incarnation, n.digest = u.Incarnation, u.ConfigDigest
+	n.incarnation, n.digest, n.lacksMembers = u.Incarnation, u.ConfigDigest, u.LacksMembers
 	if u.Revision <= own {
 		n.aheadSince = time.Time{}
 	} else if n.aheadSince.IsZero() {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -62,6 +62,12 @@
 	return &peerpb.ReportDeathResponse{}, nil
 }
 
+// TellMembers implements peerpb.GatewayServer.
+func (s *Server) TellMembers(_ context.Context, l *peerpb.MemberList) (*peerpb.TellMembersResponse, error) {
+	s.Mesh.takeMembers(l)
+	return &peerpb.TellMembersResponse{}, nil
+}
+
 // CopyUsage implements peerpb.GatewayServer.
 func (s *Server) CopyUsage(_ context.Context, r *peerpb.CopyUsageRequest) (*peerpb.CopyUsageResponse, error) {
 	if s.Usage == nil {
@@ -108,6 +114,7 @@
 	}
 	now := s.Holder.Current()
 	out.Vm, out.Incarnation = s.VM, s.Incarnation
+	out.LacksMembers = s.Mesh != nil && !s.Mesh.members.Known()
 	out.Revision, out.PlatformAgeMs = now.Revision(), s.Freshness.AgeMS()
 	for name := range now.Bad() {
 		out.BadObjects = append(out.BadObjects, name)
