--- a/internal/membership/entry.go
+++ b/internal/membership/entry.go
@@ -48,6 +48,16 @@
 	return out
 }
 
+// Owns tells whether this gateway, of those that serve, is the one that uses an endpoint for requests under which another died.
+func (e *Entry) Owns(endpoint string) bool {
+	var names []string
+	for _, vm := range e.Serving() {
+		names = append(names, vm.Name)
+	}
+	first := Rendezvous(endpoint, names, 1)
+	return len(first) == 1 && first[0] == e.self.Name
+}
+
 // Sharing returns how many gateways share the pools: all live VMs, without the neighbours that are known not to serve.
 func (e *Entry) Sharing() int {
 	neighbours := e.members.Neighbours()
