Measure work on reclaimable endpoints and the harm of a reclaim

Cause: docs/measurements.md had no figure for work on reclaimable endpoints through the request path; the fleet section counts endpoints only.

Engines of the fakes now take out a request that is cancelled before its prefill, which held their prefill server for ever. Running the real gateway against HTTP stand-ins in virtual time was ruled out: some 6,000 tokens a second would take minutes.

--- a/internal/measure/cluster_test.go
+++ b/internal/measure/cluster_test.go
@@ -28,6 +28,8 @@
 	// Load reports are taken so often and arrive after reportLag.
 	reportEvery = 250 * time.Millisecond
 	reportLag   = 300 * time.Millisecond
+	// firstReports is the time before the work begins, in which the first reports arrive.
+	firstReports = 2 * time.Second
 	// Cache events are collected so often, arrive after eventLag and are lost with eventLoss.
 	eventEvery = 500 * time.Millisecond
 	eventLag   = time.Second
@@ -45,6 +47,9 @@
 	// tellFirst tells the neighbours of a death before the caller is answered or the request is tried again.
 	tellFirst bool
 	teams     map[string]admission.TeamConfig
+	// prepare changes the fleet before the run. path replaces the path of requests of the engine pool.
+	prepare func(*cluster)
+	path    func(ctx context.Context, c *cluster, g *gateway, w *request) result
 	// disturb runs beside the work and changes the fleet.
 	disturb func(ctx context.Context, c *cluster)
 }
@@ -86,6 +91,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		c := newCluster(d, seed, r)
+		if r.prepare != nil {
+			r.prepare(c)
+		}
 		var background, callers sync.WaitGroup
 		for _, name := range c.names {
 			background.Go(func() { c.report(ctx, c.engines[name]) })
@@ -100,7 +108,7 @@
 			background.Go(func() { r.disturb(ctx, c) })
 		}
 		// The first reports arrive before the work begins.
-		time.Sleep(2 * time.Second)
+		time.Sleep(firstReports)
 		c.begin = time.Now()
 		for i, w := range work {
 			time.Sleep(time.Until(c.begin.Add(w.at)))
@@ -162,12 +170,15 @@
 // report delivers an engine's load reports late to all gateways.
 func (c *cluster) report(ctx context.Context, e *engine) {
 	for {
-		load, at := e.report(), time.Now()
+		endpoint, load, at := e.state(), e.report(), time.Now()
+		if endpoint.State == world.EndpointGone {
+			return
+		}
 		if pause(ctx, nil, reportLag) != nil {
 			return
 		}
 		for _, g := range c.gateways {
-			g.choice.update(e.Pool, balancer.Endpoint{Endpoint: e.Endpoint, Load: load, ReportedAt: at})
+			g.choice.update(e.Pool, balancer.Endpoint{Endpoint: endpoint, Load: load, ReportedAt: at})
 		}
 		if pause(ctx, nil, reportEvery) != nil {
 			return
@@ -261,6 +272,9 @@
 
 // handle is the path of one request through a gateway.
 func (c *cluster) handle(ctx context.Context, g *gateway, w *request) result {
+	if c.path != nil && w.pool == c.pool {
+		return c.path(ctx, c, g, w)
+	}
 	res := result{request: w}
 	begin := time.Now()
 	fingerprint := retry.Fingerprint(w.team, w.pool, fmt.Append(nil, w.at))
--- a/internal/measure/engine_test.go
+++ b/internal/measure/engine_test.go
@@ -161,6 +161,7 @@
 	case <-died:
 		return errDied
 	case <-ctx.Done():
+		e.abandon(died, j)
 		return ctx.Err()
 	}
 }
