Wire the metrics that nothing recorded

Cause: instruments for waiting requests, requests in flight, streams of configuration, sizes of claim groups and orders by result were created but never used. A request quarantined because a neighbour told of it was not counted, and one with more than two deaths was counted again at each.

Change: waiting requests, requests in flight and streams are gauges that are read when metrics are collected; counting each change on the request path was ruled out. in_flight shows what the choice predicts, the work of other gateways included. Claim groups and outcomes of orders are counted where they are written. The quarantine tells once of each new entry, with its source.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -193,6 +193,21 @@
 	return w, nil
 }
 
+// Waiting returns the number of requests that wait for any pool, by class.
+func (q *Queue) Waiting() [world.PriorityClasses]int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var out [world.PriorityClasses]int
+	for _, p := range q.pools {
+		for i := range p.classes {
+			for _, f := range p.classes[i].active {
+				out[i] += f.waiting.Len()
+			}
+		}
+	}
+	return out
+}
+
 // leave takes a waiter out of its queue. It returns false when the request was admitted or dropped in the meantime.
 func (q *Queue) leave(w *waiter) bool {
 	q.mu.Lock()
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -120,6 +120,9 @@
 			done <- err
 		}()
 		synctest.Wait()
+		if got := q.Waiting(); got != [world.PriorityClasses]int{1} {
+			t.Errorf("waiting by class: %v", got)
+		}
 		if _, err := q.Acquire(t.Context(), Request{Team: "a", Pool: "p"}); err == nil {
 			t.Error("third concurrent request of two admitted")
 		}
@@ -129,6 +132,9 @@
 		}
 		first.Release(10)
 		first.Release(10)
+		if got := q.Waiting(); got != [world.PriorityClasses]int{} {
+			t.Errorf("waiting after the end: %v", got)
+		}
 		q.mu.Lock()
 		defer q.mu.Unlock()
 		if p := q.pools["p"]; p.waiting != 0 || p.inFlight != 0 || q.teams["a"].running != 0 {
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -62,6 +62,9 @@
 			t.Errorf("predicted %v, want 600ms", got)
 		}
 		time.Sleep(100 * time.Millisecond)
+		if got := b.InFlight()["p"]; got != 3 {
+			t.Errorf("%d requests in flight, want one own and two of a neighbour", got)
+		}
 		b.Update("p", engine("a", world.Load{QueuedPrefillTokens: 3000}))
 		if got := choose(t, b, Request{}).Predicted; got != 300*time.Millisecond {
 			t.Errorf("predicted %v after the report, want 300ms", got)
--- a/internal/balancer/state.go
+++ b/internal/balancer/state.go
@@ -102,6 +102,19 @@
 	return s.Endpoint, true
 }
 
+// InFlight returns the predicted number of requests at the endpoints of each pool, those of other gateways included.
+func (b *Balancer) InFlight() map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[string]int, len(b.pools))
+	for name, p := range b.pools {
+		for _, s := range p.members {
+			out[name] += max(0, s.running())
+		}
+	}
+	return out
+}
+
 // Remove forgets an endpoint.
 func (b *Balancer) Remove(pool, name string) {
 	b.mu.Lock()
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -155,6 +155,7 @@
 		if err := s.put(claims, data); err != nil {
 			return err
 		}
+		s.opts.OnGroup(len(group) - len(refused))
 	}
 	for _, op := range group {
 		if slices.Contains(refused, op) {
--- a/internal/claim/store.go
+++ b/internal/claim/store.go
@@ -35,6 +35,8 @@
 	Retention    time.Duration
 	BeginTimeout time.Duration
 	Log          zerolog.Logger
+	// OnGroup, when not nil, is called with the number of operations in each write of a shard.
+	OnGroup func(operations int)
 	// Now is the clock for retention.
 	Now func() time.Time
 }
@@ -62,6 +64,9 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
+	if o.OnGroup == nil {
+		o.OnGroup = func(int) {}
+	}
 	s := &Store{opts: o, settled: make(chan struct{})}
 	close(s.settled)
 	for i := range s.shards {
--- a/internal/claim/store_test.go
+++ b/internal/claim/store_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -67,6 +68,18 @@
 	}
 }
 
+// Guards against writes of claims that are not counted, or counted with the repeats that write nothing.
+func TestGroupsAreCounted(t *testing.T) {
+	var groups []int
+	s := NewStore(Options{Platform: memplatform.New(), OnGroup: func(n int) { groups = append(groups, n) }})
+	for _, key := range []string{"a", "b", "a"} {
+		begin(t, s, attempt(key, key))
+	}
+	if !slices.Equal(groups, []int{1, 1}) {
+		t.Errorf("groups %v, want two writes of one claim", groups)
+	}
+}
+
 // Guards against a repeat at another gateway that sees an old state of the claim for ever.
 func TestRepeatSeesOutcomeElsewhere(t *testing.T) {
 	p := memplatform.New()
--- a/internal/config/relay.go
+++ b/internal/config/relay.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,6 +37,9 @@
 	// floor is the smallest revision from which history holds every later change.
 	floor   uint64
 	changed chan struct{}
+	// streams counts the subscribers' streams by role.
+	streams map[string]int
+	onSend  func(objects int)
 }
 
 type change struct {
@@ -45,12 +50,15 @@
 
 // NewRelay returns a relay of a holder's configuration. Create it before the holder is used.
 func NewRelay(holder *Holder, freshness *Freshness) *Relay {
-	r := &Relay{freshness: freshness, changed: make(chan struct{})}
+	r := &Relay{freshness: freshness, changed: make(chan struct{}), streams: make(map[string]int), onSend: func(int) {}}
 	r.reset(holder.Current())
 	holder.onDelta(r.record)
 	return r
 }
 
+// OnSend registers a function that is called with the number of objects in each message that holds any. Register before use.
+func (r *Relay) OnSend(f func(objects int)) { r.onSend = f }
+
 // reset forgets the history: a whole list came, so the changes that led to it are not known. The caller holds the lock.
 func (r *Relay) reset(s *Snapshot) {
 	r.snapshot = s
@@ -151,6 +159,8 @@
 
 // Subscribe implements peerpb.ConfigServer.
 func (r *Relay) Subscribe(req *peerpb.ConfigRequest, stream grpc.ServerStreamingServer[peerpb.ConfigUpdate]) error {
+	r.count(req.Role, 1)
+	defer r.count(req.Role, -1)
 	p := position{from: req.FromRevision}
 	ticker := time.NewTicker(freshnessPeriod)
 	defer ticker.Stop()
@@ -159,6 +169,9 @@
 		if err := stream.Send(u); err != nil {
 			return err
 		}
+		if len(u.Objects) > 0 {
+			r.onSend(len(u.Objects))
+		}
 		select {
 		case <-stream.Context().Done():
 			return context.Cause(stream.Context())
@@ -168,6 +181,25 @@
 	}
 }
 
+// roles are the roles of subscribers. Others are counted as "other", so that a peer can't make metrics without bound.
+var roles = []string{"gateway", "controller"}
+
+func (r *Relay) count(role string, n int) {
+	if !slices.Contains(roles, role) {
+		role = "other"
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.streams[role] += n
+}
+
+// Streams returns the number of subscribers' streams by role.
+func (r *Relay) Streams() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.streams)
+}
+
 // FullUpdate returns a whole snapshot as a message.
 func FullUpdate(s *Snapshot, ageMS int64) *peerpb.ConfigUpdate {
 	u := &peerpb.ConfigUpdate{Full: true, Revision: s.revision, AgeMs: ageMS, Digest: s.digest}
--- a/internal/config/relay_test.go
+++ b/internal/config/relay_test.go
@@ -27,6 +27,7 @@
 	relay     *Relay
 	frozen    bool
 	calls     int
+	lost      int
 	listener  *memnet.Listener
 }
 
@@ -67,6 +68,7 @@
 			}))
 		return conn, func() { conn.Close() }, err
 	})
+	s.OnLost(func() { nodes[0].lost++ })
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = s.Run(ctx) }()
@@ -128,6 +130,10 @@
 		if h.Current().Team("x").Weight != 2 || s.Parent() != "vm-1" || !s.Synced() {
 			t.Fatalf("parent %q, synced %v", s.Parent(), s.Synced())
 		}
+		synctest.Wait()
+		if now := good.relay.Streams()["gateway"]; now != 1 || stale.relay.Streams()["gateway"] != 0 || stale.lost != 1 {
+			t.Errorf("%d streams at the good relay, %d at the stale one, %d lost", now, stale.relay.Streams()["gateway"], stale.lost)
+		}
 	})
 }
 
--- a/internal/config/subscriber.go
+++ b/internal/config/subscriber.go
@@ -49,14 +49,18 @@
 	parent     atomic.Pointer[string]
 	lastHeard  atomic.Int64
 	synced     atomic.Bool
+	onLost     func()
 }
 
 // NewSubscriber returns a subscriber for the process with the given role ("gateway" or "controller") on a VM. parents returns
 // the candidates, best first; it is called anew after each failure.
 func NewSubscriber(vm, role string, h *Holder, f *Freshness, parents func() []world.VM, dial Dial) *Subscriber {
-	return &Subscriber{vm: vm, role: role, holder: h, freshness: f, parents: parents, dial: dial}
+	return &Subscriber{vm: vm, role: role, holder: h, freshness: f, parents: parents, dial: dial, onLost: func() {}}
 }
 
+// OnLost registers a function that is called when the stream from a parent is lost. Register before use.
+func (s *Subscriber) OnLost(f func()) { s.onLost = f }
+
 // Parent returns the VM that the subscriber follows, or "".
 func (s *Subscriber) Parent() string {
 	if p := s.parent.Load(); p != nil {
@@ -86,7 +90,9 @@
 				b.reset()
 			}
 		}
-		s.parent.Store(nil)
+		if s.parent.Swap(nil) != nil {
+			s.onLost()
+		}
 		if errors.Is(err, errDigest) {
 			i--
 		}
--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -90,6 +90,9 @@
 	c := &controllerNode{node: base, endpoints: endpoint.New(endpoints), demand: newDemandReader(base.members, base.clients)}
 	c.supply = config.NewSupply(base.settings.VMName, base.members.All, source, subscriber)
 	c.relay = config.NewRelay(base.holder, base.freshness)
+	base.telemetry.Metrics.Relay.ObserveSubscribers(c.relay.Streams)
+	c.relay.OnSend(func(objects int) { base.telemetry.Metrics.Relay.Sent(context.Background(), "config", int64(objects)) })
+	subscriber.OnLost(base.countLost)
 	c.directory = controller.NewDirectory(base.settings.VMName, base.holder, base.members, base.platform, base.clients.DialController)
 	c.collector = controller.NewCollector(base.settings.VMName, base.holder, base.members, c.directory, &collectorClient{c.endpoints})
 	c.fleet = newFleetTable(base.holder, c.directory)
@@ -174,6 +177,9 @@
 
 func (c *controllerNode) orders(pool string) *duty.Orders {
 	return &duty.Orders{Pool: pool, Holder: c.holderName(), Store: c.platform, Fleet: c.fleet, Log: c.telemetry.Log, Rank: c.members.Rank,
+		OnOrder: func(kind world.OrderKind, result world.IntentState) {
+			c.telemetry.Metrics.Lease.Order(context.Background(), string(kind), string(result))
+		},
 		OnTerm:      func(held bool) { c.countTerm(string(world.DutyOrders), held) },
 		NewProvider: func(a *lease.Authority) platform.Provider { return c.boundPlatform(a) },
 		NewPlanners: c.newPlanners, EndpointTLS: c.endpointTLS}
@@ -237,7 +243,7 @@
 
 // runClaims reconciles claims that gateways left open while it holds the lease.
 func (c *controllerNode) runClaims(ctx context.Context) error {
-	store := claim.NewStore(claim.Options{Platform: c.platform, Log: c.telemetry.Log})
+	store := claim.NewStore(claim.Options{Platform: c.platform, Log: c.telemetry.Log, OnGroup: c.countGroup})
 	r := claim.Reconciler{Store: store, Incarnations: &incarnations{c.node},
 		Endpoints: claim.EndpointAsker{Client: c.endpoints, Addr: c.fleet.address}}
 	return c.whileCandidate(ctx, string(world.DutyClaims), func(ctx context.Context) error {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -97,18 +97,20 @@
 		quarantine: retry.NewQuarantine(quarantineFor), burn: burn.NewRecorder(burn.DefaultObjective), demand: newDemandMeter()}
 	g.admission.SetSelf(s.VMName)
 	g.balancer.OnEject(func(pool string) { g.telemetry.Metrics.Retry.Ejected(context.Background(), pool) })
+	g.registerMetrics()
 	g.neighbours = newNeighbours(g.admission, g.balancer, g.quarantine)
 	g.neighbours.large = func() bool { return len(g.members.Live()) > membership.MaxNeighbours+1 }
 	g.holder.OnChange(g.configureAdmission)
 	g.mesh = peer.NewMesh(s.VMName, g.incarnation, g.members, g.clients, g.holder, g.freshness, g.neighbours, g.neighbours)
 	g.subscriber = config.NewSubscriber(s.VMName, "gateway", g.holder, g.freshness, g.members.Parents, g.clients.DialController)
+	g.subscriber.OnLost(g.countLost)
 	g.readiness = peer.NewReadiness(g.mesh, g.subscriber.Synced)
 	g.entry = &entry{self: g.self, members: g.members, mesh: g.mesh}
 	copier := &usageCopier{node: base, mesh: g.mesh}
 	g.ledger = usage.NewLedger(usage.Options{Incarnation: s.VMName + "." + g.incarnation, WindowLength: int64(s.WindowLength / time.Second),
 		Peers: copier.peers, Copier: copier, Sealed: usage.ReadSealed(g.platform),
 		OnCopy: func(accepted bool) { g.telemetry.Metrics.Usage.Copied(context.Background(), accepted) }})
-	claims := claim.NewStore(claim.Options{Platform: g.platform, Log: g.telemetry.Log})
+	claims := claim.NewStore(claim.Options{Platform: g.platform, Log: g.telemetry.Log, OnGroup: g.countGroup})
 	g.gateway = gateway.New(gateway.Options{
 		VM: s.VMName, Incarnation: g.incarnation, Config: g.holder, Keyring: g.keyring, Admission: g.admission, Balancer: g.balancer,
 		Budget: retry.NewBudget(retryRatio), Quarantine: g.quarantine, Claims: claims, Usage: g.ledger, Members: g.entry,
@@ -127,6 +129,31 @@
 	return g
 }
 
+// registerMetrics connects the instruments of what admission, choice and quarantine hold.
+func (g *gatewayNode) registerMetrics() {
+	m := g.telemetry.Metrics
+	m.Admission.ObserveWaiting(func() map[string]int {
+		out := make(map[string]int, world.PriorityClasses)
+		for class, n := range g.admission.Waiting() {
+			out[strconv.Itoa(class)] = n
+		}
+		return out
+	})
+	m.Choice.ObserveInFlight(g.balancer.InFlight)
+	g.quarantine.OnAdd(func(told bool) {
+		source := "own"
+		if told {
+			source = "peer"
+		}
+		m.Quarantine.Added(context.Background(), source)
+	})
+}
+
+// countGroup records the size of one write of a shard of claims.
+func (n *node) countGroup(operations int) {
+	n.telemetry.Metrics.Claim.Group(context.Background(), operations)
+}
+
 // seed derives the seed of random choices from an incarnation, so that gateways differ.
 func seed(incarnation string) uint64 {
 	h := maphash.String(maphash.MakeSeed(), incarnation)
@@ -237,9 +264,6 @@
 func (g *gatewayNode) died(fingerprint uint64, endpoint string) {
 	e, _ := g.balancer.Endpoint(endpoint)
 	g.telemetry.Metrics.Quarantine.Death(context.Background(), e.Pool)
-	if g.quarantine.Blocked(fingerprint) {
-		g.telemetry.Metrics.Quarantine.Added(context.Background(), "own")
-	}
 	g.neighbours.died(fingerprint, endpoint)
 }
 
--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -140,7 +140,7 @@
 
 // NeighbourDeath implements peer.Remote.
 func (n *neighbours) NeighbourDeath(fingerprint uint64, endpoint string) {
-	n.quarantine.Death(fingerprint, endpoint)
+	n.quarantine.ToldDeath(fingerprint, endpoint)
 }
 
 // NeighbourGone implements peer.Remote.
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -135,6 +135,9 @@
 	n.telemetry.Metrics.Config.BadObjects(ctx, len(s.Bad()))
 }
 
+// countLost counts a lost stream of configuration.
+func (n *node) countLost() { n.telemetry.Metrics.Relay.Reconnected(context.Background(), "config") }
+
 // peerCredentials returns mutual TLS towards other processes, or nil for plain TCP.
 func (n *node) peerCredentials() credentials.TransportCredentials {
 	if n.peerTLS == nil {
--- a/internal/duty/orders.go
+++ b/internal/duty/orders.go
@@ -54,6 +54,8 @@
 	Rank Rank
 	// OnTerm, when not nil, is called with true when a term begins and with false when it ends.
 	OnTerm func(held bool)
+	// OnOrder, when not nil, is called when the outcome of an order is recorded.
+	OnOrder func(world.OrderKind, world.IntentState)
 	// EndpointTLS is the identity towards engines; nil means the system's authorities and no client certificate.
 	EndpointTLS *auth.TLS
 	// Control, when not nil, replaces the control protocol of engines; for tests.
@@ -101,7 +103,7 @@
 // establishLeadership takes the pool's orders over and finishes what the predecessor left half done.
 func (o *Orders) establishLeadership(a *lease.Authority) (*order.Dispatcher, error) {
 	d := order.New(order.Options{Pool: o.Pool, Holder: o.Holder, Authority: a, Store: o.Store, Provider: o.NewProvider(a),
-		Endpoint: o.endpoint, Control: o.Control, EndpointTLS: o.EndpointTLS})
+		Endpoint: o.endpoint, Control: o.Control, EndpointTLS: o.EndpointTLS, OnOutcome: o.OnOrder})
 	if err := d.TakeOver(a.Context()); err != nil {
 		return nil, err
 	}
--- a/internal/e2e/metrics_test.go
+++ b/internal/e2e/metrics_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"bufio"
+	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"testing"
+
+	"crocusglade.example/crocusglade/internal/world"
 )
 
 // scrape sums the samples of each metric family at an address; a label, such as `duty="usage"`, limits them.
@@ -49,12 +53,40 @@
 	return sum
 }
 
+// checkLevels checks gauges that are read when metrics are collected, while requests run.
+func (u *usageCluster) checkLevels() {
+	u.t.Helper()
+	open := u.openChat(0, u.key("skippers"), "levels", 1000)
+	defer open.cancel()
+	if got := u.scrape(u.vms[0].gatewayMetrics, "in_flight", `pool="logreader"`); got < 1 {
+		u.t.Errorf("in_flight is %v while a stream runs", got)
+	}
+	r, err := u.client.Get(u.url(u.vms[0].gatewayMetrics) + "/metrics")
+	if err != nil {
+		u.t.Fatal(err)
+	}
+	defer r.Body.Close()
+	page, _ := io.ReadAll(r.Body)
+	for class := range world.PriorityClasses {
+		if name := fmt.Sprintf(`crocusglade_admission_waiting{class="%d"}`, class); !strings.Contains(string(page), name) {
+			u.t.Errorf("%s is missing", name)
+		}
+	}
+	if got := u.scrapeAll(false, "relay_sent_total", `stream="config"`); got < vmCount {
+		u.t.Errorf("relay_sent is %v, want an object for each gateway at least", got)
+	}
+	u.await("one stream of configuration for each gateway", func() bool {
+		return u.scrapeAll(false, "relay_subscribers", `role="gateway"`) == vmCount
+	})
+}
+
 // Guards against instruments that nothing calls, and against values that don't match what ran.
 func TestUsageMetrics(t *testing.T) {
 	t.Parallel()
 	u := newUsageCluster(t)
 	u.startCallers()
 	u.awaitReports(2)
+	u.checkLevels()
 	u.finish()
 	whole := 0.0
 	for _, r := range u.history.Requests {
--- a/internal/e2e/orders_test.go
+++ b/internal/e2e/orders_test.go
@@ -226,6 +226,9 @@
 	// The first holder inherits the order, so it replaces logreader-1 at once; nothing is sent to it.
 	stop := c.stream(6)
 	c.await("the removal", func() bool { return c.poolOrders().Drained["logreader-1"] == "removed" })
+	c.await("the orders by result", func() bool {
+		return c.scrapeAll(false, "order_total", `kind="set_role",result="ambiguous"`) == 1 && c.scrapeAll(false, "order_total", `result="done"`) == 2
+	})
 	former, fence := c.ordersHolder()
 	former.controller.Kill()
 	c.await("the next holder", func() bool {
--- a/internal/e2e/quarantine_test.go
+++ b/internal/e2e/quarantine_test.go
@@ -40,5 +40,9 @@
 			t.Errorf("another request at gateway %d: %d %s", i, r.status, r.body)
 		}
 	}
+	c.await("quarantine at all gateways", func() bool { return c.scrapeAll(true, "quarantine_added_total", "") == vmCount })
+	if told := c.scrapeAll(true, "quarantine_added_total", `source="peer"`); told != vmCount-1 {
+		t.Errorf("%v gateways quarantined the request because a neighbour told, want %d", told, vmCount-1)
+	}
 	c.check()
 }
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -51,6 +51,8 @@
 	SendFor time.Duration
 	// EndpointTLS is the identity towards engines; nil means the system's authorities and no client certificate.
 	EndpointTLS *auth.TLS
+	// OnOutcome, when not nil, is called when the outcome of an order is recorded.
+	OnOutcome func(world.OrderKind, world.IntentState)
 	// Control sends an order to an engine; nil means the control protocol over connections bound to Authority.
 	Control Control
 }
@@ -77,6 +79,9 @@
 	if o.SendFor <= 0 {
 		o.SendFor = DefaultSendFor
 	}
+	if o.OnOutcome == nil {
+		o.OnOutcome = func(world.OrderKind, world.IntentState) {}
+	}
 	if o.Control == nil {
 		o.Control = newHTTPControl(o.Authority, o.EndpointTLS)
 	}
@@ -250,6 +255,7 @@
 	if err != nil {
 		return err
 	}
+	d.o.OnOutcome(o.Kind, world.IntentAmbiguous)
 	if err := d.replace(ctx, o); err != nil && !errors.Is(err, ErrRefused) {
 		return err
 	}
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -67,6 +67,8 @@
 	engine *engine
 	// afterOrder runs after each provider order has taken effect.
 	afterOrder func()
+	// outcomes are the recorded outcomes, as "<kind> <state>".
+	outcomes []string
 }
 
 // Order implements platform.Provider; the answer is lost when afterOrder is set.
@@ -92,6 +94,7 @@
 
 func (f *fixture) dispatcher(a *lease.Authority) *Dispatcher {
 	return New(Options{Pool: "p", Holder: "h", Authority: a, Store: f.mem, Provider: f, Control: f.engine,
+		OnOutcome: func(k world.OrderKind, s world.IntentState) { f.outcomes = append(f.outcomes, string(k)+" "+string(s)) },
 		Endpoint: func(name string) (world.Endpoint, bool) {
 			return world.Endpoint{Name: name, FailureDomain: "roja", Class: world.OnDemand, ChecksFence: f.engine.checks}, name == "e1"
 		}})
@@ -225,6 +228,9 @@
 		if s := d.State(); !slices.Equal(s.Abandoned, []string{"e1"}) || len(s.Intents) != 1 {
 			t.Errorf("state %+v", s)
 		}
+		if !slices.Equal(f.outcomes, []string{"set_role ambiguous", "add done", "add done"}) {
+			t.Errorf("outcomes %q", f.outcomes)
+		}
 	})
 }
 
--- a/internal/order/send.go
+++ b/internal/order/send.go
@@ -75,6 +75,7 @@
 	if err != nil {
 		return err
 	}
+	d.o.OnOutcome(o.Kind, intent.State)
 	return outcome
 }
 
--- a/internal/retry/quarantine.go
+++ b/internal/retry/quarantine.go
@@ -23,6 +23,7 @@
 	mu      sync.Mutex
 	ttl     time.Duration
 	records map[uint64]*record
+	onAdd   func(told bool)
 }
 
 // record is what is known of one request that crashed an endpoint.
@@ -39,9 +40,13 @@
 
 // NewQuarantine returns an empty quarantine whose entries last for ttl.
 func NewQuarantine(ttl time.Duration) *Quarantine {
-	return &Quarantine{ttl: ttl, records: make(map[uint64]*record)}
+	return &Quarantine{ttl: ttl, records: make(map[uint64]*record), onAdd: func(bool) {}}
 }
 
+// OnAdd registers a function that is called when a request is newly quarantined. told is true when a neighbour's message was the
+// cause. Register before use. The function must not call the quarantine.
+func (q *Quarantine) OnAdd(f func(told bool)) { q.onAdd = f }
+
 // Fingerprint returns the hash of team, route and body that identifies a request.
 func Fingerprint(team, route string, body []byte) uint64 {
 	var d xxhash.Digest
@@ -72,8 +77,16 @@
 }
 
 // Death records that an endpoint died while it ran a request and tells whether the request is quarantined now.
-// Deaths that neighbours report are recorded by the same call.
 func (q *Quarantine) Death(fingerprint uint64, endpoint string) bool {
+	return q.death(fingerprint, endpoint, false)
+}
+
+// ToldDeath records a death that a neighbour reports.
+func (q *Quarantine) ToldDeath(fingerprint uint64, endpoint string) {
+	q.death(fingerprint, endpoint, true)
+}
+
+func (q *Quarantine) death(fingerprint uint64, endpoint string, told bool) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := time.Now()
@@ -87,10 +100,19 @@
 	if len(r.deaths) < deathsToQuarantine {
 		r.deaths = append(r.deaths, death{endpoint, now})
 	}
-	r.blocked = r.blocked || len(r.deaths) >= deathsToQuarantine
+	if len(r.deaths) >= deathsToQuarantine {
+		q.block(r, told)
+	}
 	return r.blocked
 }
 
+func (q *Quarantine) block(r *record, told bool) {
+	if !r.blocked {
+		r.blocked = true
+		q.onAdd(told)
+	}
+}
+
 // Add quarantines a request for the given time, as reported by a neighbour. The time is bounded by the quarantine's own.
 func (q *Quarantine) Add(fingerprint uint64, remaining time.Duration) {
 	if remaining <= 0 {
@@ -100,7 +122,7 @@
 	defer q.mu.Unlock()
 	now := time.Now()
 	r := q.entry(fingerprint, now)
-	r.blocked = true
+	q.block(r, true)
 	r.expires = later(r.expires, now.Add(min(remaining, q.ttl)))
 }
 
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -88,6 +89,24 @@
 	})
 }
 
+// Guards against quarantined requests that are counted twice, or under the wrong source.
+func TestNewQuarantineIsToldOnce(t *testing.T) {
+	q := NewQuarantine(time.Hour)
+	var told []bool
+	q.OnAdd(func(t bool) { told = append(told, t) })
+	q.ToldDeath(1, "e1")
+	q.Death(1, "e2")
+	q.Death(1, "e3")
+	q.Add(1, time.Minute)
+	q.Death(2, "e1")
+	q.ToldDeath(2, "e2")
+	q.Add(3, time.Minute)
+	q.Add(3, time.Minute)
+	if !slices.Equal(told, []bool{false, true, true}) {
+		t.Errorf("told %v, want one by own deaths and two by neighbours", told)
+	}
+}
+
 // Guards against memory that grows with made-up requests, and against losing quarantined ones to suspects.
 func TestQuarantineIsBounded(t *testing.T) {
 	q := NewQuarantine(time.Hour)
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -30,7 +30,7 @@
 // AdmissionMetrics counts requests at the fair queue.
 type AdmissionMetrics struct {
 	admitted, refused metric.Int64Counter
-	waiting           metric.Int64UpDownCounter
+	waiting           *observed
 	wait              metric.Float64Histogram
 }
 
@@ -45,17 +45,15 @@
 	m.refused.Add(ctx, 1, labels("team", team, "kind", kind))
 }
 
-// Waiting changes the number of waiting requests by n.
-func (m *AdmissionMetrics) Waiting(ctx context.Context, class string, n int64) {
-	m.waiting.Add(ctx, n, labels("class", class))
-}
+// ObserveWaiting registers the function that returns the number of waiting requests by class.
+func (m *AdmissionMetrics) ObserveWaiting(read func() map[string]int) { m.waiting.set(read) }
 
 // ChoiceMetrics counts choices of an endpoint.
 type ChoiceMetrics struct {
 	chosen, none metric.Int64Counter
 	firstToken   metric.Float64Histogram
 	predictError metric.Float64Histogram
-	inFlight     metric.Int64UpDownCounter
+	inFlight     *observed
 }
 
 // Chosen counts a dispatch to a pool; affinity says that the choice followed a cached prefix.
@@ -74,10 +72,8 @@
 	m.predictError.Record(ctx, max(seconds-predicted, predicted-seconds), labels("pool", pool))
 }
 
-// InFlight changes the number of dispatched requests by n.
-func (m *ChoiceMetrics) InFlight(ctx context.Context, pool string, n int64) {
-	m.inFlight.Add(ctx, n, labels("pool", pool))
-}
+// ObserveInFlight registers the function that returns the requests at the endpoints of each pool, as the choice predicts them.
+func (m *ChoiceMetrics) ObserveInFlight(read func() map[string]int) { m.inFlight.set(read) }
 
 // RetryMetrics counts retries and ejections.
 type RetryMetrics struct{ retried, exhausted, ejected, resumed metric.Int64Counter }
@@ -179,19 +175,19 @@
 
 // RelayMetrics counts the relay tree's work.
 type RelayMetrics struct {
-	subscribers     metric.Int64UpDownCounter
+	subscribers     *observed
 	sent, reconnect metric.Int64Counter
 }
 
-// Subscribers changes the number of subscribers by n.
-func (m *RelayMetrics) Subscribers(ctx context.Context, n int64) { m.subscribers.Add(ctx, n) }
+// ObserveSubscribers registers the function that returns the streams that this process serves, by the role of the other process.
+func (m *RelayMetrics) ObserveSubscribers(read func() map[string]int) { m.subscribers.set(read) }
 
-// Sent counts deltas sent; stream is "config", "load" or "exchange".
+// Sent counts objects sent to subscribers; stream is "config".
 func (m *RelayMetrics) Sent(ctx context.Context, stream string, n int64) {
 	m.sent.Add(ctx, n, labels("stream", stream))
 }
 
-// Reconnected counts a lost and renewed stream.
+// Reconnected counts a lost stream, which is renewed; stream is "config".
 func (m *RelayMetrics) Reconnected(ctx context.Context, stream string) {
 	m.reconnect.Add(ctx, 1, labels("stream", stream))
 }
@@ -277,13 +273,13 @@
 	m := &Metrics{
 		Admission: AdmissionMetrics{b.counter("admission_admitted", "requests that left the queue"),
 			b.counter("admission_refused", "requests refused before dispatch"),
-			b.level("admission_waiting", "requests in the queue"),
+			b.observed("admission_waiting", "requests in the queue", "class"),
 			b.seconds("admission_wait", "time in the queue")},
 		Choice: ChoiceMetrics{b.counter("choice_made", "dispatches to an endpoint"),
 			b.counter("choice_none", "requests for which no endpoint could be chosen"),
 			b.seconds("first_token", "time to the first token"),
 			b.seconds("first_token_error", "difference between measured and predicted time to the first token"),
-			b.level("in_flight", "dispatched requests without an end")},
+			b.observed("in_flight", "requests at the endpoints of a pool, of all gateways, as the choice predicts them", "pool")},
 		Retry: RetryMetrics{b.counter("retry_made", "second and later tries"),
 			b.counter("retry_budget_exhausted", "retries refused by the budget"),
 			b.counter("endpoint_ejected", "ejections of endpoints"), b.counter("stream_resumed", "streams resumed")},
@@ -298,8 +294,8 @@
 			b.gauge("config_bad_objects", "objects whose last version could not be parsed"),
 			b.secondsGauge("config_age", "time since the platform was last known to have no newer revision"),
 			b.counter("config_applied", "changes applied")},
-		Relay: RelayMetrics{b.level("relay_subscribers", "subscribers of this process"),
-			b.counter("relay_sent", "deltas sent"), b.counter("relay_reconnected", "streams lost and renewed")},
+		Relay: RelayMetrics{b.observed("relay_subscribers", "streams of configuration that this process serves", "role"),
+			b.counter("relay_sent", "objects sent to subscribers"), b.counter("relay_reconnected", "streams lost and renewed")},
 		Claim: ClaimMetrics{b.counter("claim_written", "claims by state reached"),
 			b.counter("claim_repeated", "repeated idempotency keys"), b.counter("claim_reconciled", "claims resolved afterwards"),
 			b.gauge("claim_unresolved", "unresolved claims"), b.sizes("claim_group", "claims in one write of a shard")},
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -35,9 +35,18 @@
 	m.Claim.Unresolved(ctx, 3)
 	m.Lease.Taken(ctx, "usage")
 	m.Lease.Lost(ctx, "usage")
+	m.Admission.ObserveWaiting(func() map[string]int { return map[string]int{"0": 2, "1": 0} })
+	m.Choice.ObserveInFlight(func() map[string]int { return map[string]int{"logreader": 4} })
+	m.Relay.ObserveSubscribers(func() map[string]int { return map[string]int{"gateway": 5} })
+	m.Lease.Order(ctx, "set_role", "ambiguous")
+	m.Quarantine.Added(ctx, "peer")
+	m.Claim.Group(ctx, 3)
 	_, body := get(t, tel, "/metrics")
 	for _, want := range []string{`crocusglade_admission_admitted_total{class="urgent",team="skippers"} 1`,
 		`crocusglade_drain_cut_total{what="process"} 0`, "crocusglade_config_age_seconds 1.5",
+		`crocusglade_admission_waiting{class="0"} 2`, `crocusglade_admission_waiting{class="1"} 0`, `crocusglade_in_flight{pool="logreader"} 4`,
+		`crocusglade_relay_subscribers{role="gateway"} 5`, `crocusglade_order_total{kind="set_role",result="ambiguous"} 1`,
+		`crocusglade_quarantine_added_total{source="peer"} 1`, `crocusglade_claim_group_bucket{le="4"} 1`,
 		"crocusglade_claim_unresolved 3", `crocusglade_lease_held{duty="usage"} 0`,
 		`crocusglade_admission_wait_seconds_bucket{class="urgent",le="0.1"} 1`} {
 		if !strings.Contains(body, want) {
