Make an operator's "done" readable for callers

Cause: `requests resolve KEY done` stored an outcome with status 0. Each gateway that a caller then asked for its key panicked while it wrote the answer ("invalid WriteHeader code 0") and broke the connection.

Change: the administration API uses claim.Decide, which sets the status and the time. Store.Resolve, which did so and which nothing called, is gone. Accepting status 0 in gateways was ruled out: it would hide the wrong object.

Measured: TestOperatorResolvesRequests (crocusgladectl against four VMs: a call cut after executing and one cut before, lookups refused) failed with the panic before the change and passes after it under -race; admin, claim and TestEverythingOverTLS pass. Other e2e tests were not run.

--- a/internal/claim/store.go
+++ b/internal/claim/store.go
@@ -259,30 +259,14 @@
 	return open, nil
 }
 
-// Resolve sets the outcome of an unresolved claim as an operator decides: done or not_run. It returns ErrSuperseded when the
-// claim is not unresolved.
-func (s *Store) Resolve(ctx context.Context, key string, to world.ClaimState) error {
-	if to != world.ClaimDone && to != world.ClaimNotRun {
-		return errors.Errorf("claim: %q is no outcome; use %q or %q", to, world.ClaimDone, world.ClaimNotRun)
+// Decide returns an unresolved claim with the outcome that an operator gives it, done or not_run. Its retention begins now. Without a
+// status, a repeated key could not be answered.
+func Decide(c world.Claim, to world.ClaimState, now time.Time) world.Claim {
+	c.State, c.At = to, now.UnixMilli()
+	if to == world.ClaimDone && c.Status == 0 {
+		c.Status = operatorStatus
 	}
-	missed := false
-	err := s.shardOf(key).do(ctx, &operation{apply: func(claims map[string]world.Claim, now time.Time) bool {
-		c, found := claims[key]
-		missed = !found || c.State != world.ClaimUnresolved && c.State != to
-		if missed || c.State == to {
-			return false
-		}
-		c.State, c.At = to, now.UnixMilli()
-		if to == world.ClaimDone && c.Status == 0 {
-			c.Status = operatorStatus
-		}
-		claims[key] = c
-		return true
-	}})
-	if err == nil && missed {
-		return ErrSuperseded
-	}
-	return err
+	return c
 }
 
 // operatorStatus is the status of an outcome that an operator set without knowing the answer.
--- a/internal/controller/admin/admin_test.go
+++ b/internal/controller/admin/admin_test.go
@@ -309,6 +309,12 @@
 				t.Errorf("resolve %s: %d %v", key, code, body)
 			}
 		}
+		// The fault was a retention that began with the call, so that a key could run again right after the decision.
+		o, _ := f.platform.Get(context.Background(), world.KindClaims, "000")
+		var after world.ClaimShard
+		if err := json.Unmarshal(o.Data, &after); err != nil || after.Claims["u"].State != world.ClaimNotRun || after.Claims["u"].At == 0 {
+			t.Errorf("after the decision: %+v, %v", after.Claims["u"], err)
+		}
 		if code, body := f.call("boot", "GET", "/usage?from=x", "", ""); code != 400 {
 			t.Errorf("usage: %d %v", code, body)
 		}
--- a/internal/controller/admin/operations.go
+++ b/internal/controller/admin/operations.go
@@ -8,12 +8,14 @@
 	"slices"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/labstack/echo/v4"
 	"google.golang.org/grpc"
 
 	"crocusglade.example/crocusglade/internal/apierror"
 	"crocusglade.example/crocusglade/internal/auth"
+	"crocusglade.example/crocusglade/internal/claim"
 	"crocusglade.example/crocusglade/internal/controller"
 	"crocusglade.example/crocusglade/internal/peer/peerpb"
 	"crocusglade.example/crocusglade/internal/world"
@@ -167,10 +169,10 @@
 	}
 	claims := []world.Claim{}
 	for _, shard := range shards {
-		for _, claim := range shard.Claims {
-			if claim.State == world.ClaimUnresolved {
-				claim.Body = nil
-				claims = append(claims, claim)
+		for _, c := range shard.Claims {
+			if c.State == world.ClaimUnresolved {
+				c.Body = nil
+				claims = append(claims, c)
 			}
 		}
 	}
@@ -213,18 +215,17 @@
 }
 
 func decide(shard *world.ClaimShard, key string, outcome world.ClaimState) error {
-	claim, ok := shard.Claims[key]
+	c, ok := shard.Claims[key]
 	if !ok {
 		return notFound("claim", key)
 	}
-	if claim.State == outcome {
+	if c.State == outcome {
 		return errUnchanged
 	}
-	if claim.State != world.ClaimUnresolved {
-		return apierror.New(apierror.Conflict, "only unresolved claims can be resolved; read the list again", "claim %s is %s", key, claim.State)
+	if c.State != world.ClaimUnresolved {
+		return apierror.New(apierror.Conflict, "only unresolved claims can be resolved; read the list again", "claim %s is %s", key, c.State)
 	}
-	claim.State = outcome
-	shard.Claims[key] = claim
+	shard.Claims[key] = claim.Decide(c, outcome, time.Now())
 	return nil
 }
 
--- /dev/null
+++ b/internal/e2e/resolve_test.go
@@ -0,0 +1,98 @@
+package e2e
+
+import (
+	"bytes"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"crocusglade.example/crocusglade/internal/apierror"
+	"crocusglade.example/crocusglade/internal/ctl"
+	"crocusglade.example/crocusglade/internal/standin"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+// ctl runs crocusgladectl against a VM's controller and returns its exit code and all its output.
+func (c *cluster) ctl(vm int, args ...string) (int, string) {
+	c.t.Helper()
+	secret := filepath.Join(c.t.TempDir(), "credential")
+	if err := os.WriteFile(secret, []byte(credential), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+	var out bytes.Buffer
+	args = append([]string{"--server=" + c.url(c.vms[vm].ControllerAddr), "--credential-file=" + secret}, args...)
+	code := ctl.Run(c.t.Context(), args, &out, &out)
+	return code, out.String()
+}
+
+// unresolvedCall files a declaration whose answer the service cuts and can't be asked for. It returns the key of its claim, as
+// crocusgladectl lists it.
+func (c *cluster) unresolvedCall(key string, f standin.ServiceFaults) string {
+	c.t.Helper()
+	f.Times = 1
+	c.serviceFaults(f)
+	if r := c.declare(0, key); r.err.Kind != apierror.OutcomeUnknown || r.err.Run != apierror.Unknown {
+		c.t.Fatalf("the cut call gave %d %s", r.status, r.body)
+	}
+	for _, cl := range c.claims() {
+		if cl.State != world.ClaimUnresolved {
+			continue
+		}
+		if code, out := c.ctl(1, "requests", "unresolved"); code != ctl.ExitOK || !strings.Contains(out, cl.Key) || !strings.Contains(out, cl.RequestID) {
+			c.t.Fatalf("unresolved: exit code %d, claim %s is not in:\n%s", code, cl.Key, out)
+		}
+		return cl.Key
+	}
+	c.t.Fatal("no claim is unresolved")
+	return ""
+}
+
+func (c *cluster) declare(vm int, key string) reply {
+	return c.call(vm, "skippers", http.MethodPost, "/svc/declarations/of/skippers/"+key, declaredBody(key), map[string]string{"Idempotency-Key": key})
+}
+
+// Guards against an operator's decision on an unresolved request that callers don't see, that lets a request run twice, or that makes
+// an answer no caller can read.
+func TestOperatorResolvesRequests(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, options{service: standin.ServiceConfig{NoLookup: true}})
+	ran := c.unresolvedCall("ran", standin.ServiceFaults{CutAfterExecuting: true})
+	if r := c.declare(1, "ran"); r.err.Kind != apierror.OutcomeUnknown {
+		t.Errorf("before the decision another gateway gave %d %s", r.status, r.body)
+	}
+	if code, out := c.ctl(2, "requests", "resolve", ran, "done"); code != ctl.ExitOK {
+		t.Errorf("resolve as done: exit code %d\n%s", code, out)
+	}
+	for _, vm := range []int{0, 3} {
+		if r := c.declare(vm, "ran"); r.status != http.StatusOK || !strings.Contains(r.body, "body was not kept") {
+			t.Errorf("after done, gateway %d gave %d %s", vm, r.status, r.body)
+		}
+	}
+	lost := c.unresolvedCall("lost", standin.ServiceFaults{CutBefore: true})
+	if code, out := c.ctl(3, "requests", "resolve", lost, "not_run"); code != ctl.ExitOK {
+		t.Errorf("resolve as not run: exit code %d\n%s", code, out)
+	}
+	first, second := c.declare(1, "lost"), c.declare(2, "lost")
+	if !first.whole || !second.whole || first.body != second.body || first.executionID() == "" {
+		t.Errorf("after not_run, one gateway gave %d %s, the next %d %s", first.status, first.body, second.status, second.body)
+	}
+	if code, out := c.ctl(0, "requests", "resolve", lost, "not_run"); code != ctl.ExitConflict && code != ctl.ExitFailed {
+		t.Errorf("a decision against an outcome: exit code %d\n%s", code, out)
+	}
+	if code, out := c.ctl(0, "requests", "unresolved"); code != ctl.ExitOK || strings.Contains(out, ran) || strings.Contains(out, lost) {
+		t.Errorf("unresolved after the decisions: exit code %d\n%s", code, out)
+	}
+	byKey := make(map[string]int)
+	for _, call := range c.executions() {
+		byKey[call.Header.Get("Idempotency-Key")]++
+	}
+	if byKey["ran"] != 1 || byKey["lost"] != 1 {
+		t.Errorf("G9: executions by key: %v", byKey)
+	}
+	if got := c.scrapeAll(true, "claim_group_count", ""); got < 4 {
+		t.Errorf("claim_group counted %v writes", got)
+	}
+	c.check()
+}
--- a/internal/e2e/tls_test.go
+++ b/internal/e2e/tls_test.go
@@ -1,12 +1,9 @@
 package e2e
 
 import (
-	"bytes"
 	"crypto/tls"
 	"net"
 	"net/http"
-	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
@@ -205,16 +202,7 @@
 // commandLineOverTLS checks that crocusgladectl reaches a controller with the callers' certificate, and not without it.
 func (c *cluster) commandLineOverTLS() {
 	c.t.Helper()
-	secret := filepath.Join(c.t.TempDir(), "credential")
-	if err := os.WriteFile(secret, []byte(credential), 0o600); err != nil {
-		c.t.Fatal(err)
-	}
-	run := func(flags ...string) (int, string) {
-		var out bytes.Buffer
-		args := slices.Concat([]string{"--server=" + c.url(c.vms[0].ControllerAddr), "--credential-file=" + secret}, flags, []string{"status"})
-		code := ctl.Run(c.t.Context(), args, &out, &out)
-		return code, out.String()
-	}
+	run := func(flags ...string) (int, string) { return c.ctl(0, append(slices.Clone(flags), "status")...) }
 	dir := c.tls.dirs.callers
 	identity := []string{"--server-tls-ca=" + dir + "/ca.pem", "--server-tls-cert=" + dir + "/cert.pem", "--server-tls-key=" + dir + "/key.pem"}
 	if code, out := run(identity...); code != ctl.ExitOK || !strings.Contains(out, "vm-4") {
