Keep the last good keyset and orders when they are damaged

Cause: a keyset without its list, or "null", parsed as an empty shard and took all its keys out of force; one that held a hash twice could bring a withdrawn key back; orders with unknown states were accepted.

Checks of pools at this place were ruled out: an operator's pool that an earlier release accepted must not vanish at an upgrade. A hash in another shard than its own stays allowed. The fixture of TestWithdrawalReachesGateway now has a well-formed hash and a team.

--- a/internal/config/relay.go
+++ b/internal/config/relay.go
@@ -121,11 +121,7 @@
 	start, known := r.find(p)
 	p.next = r.first + uint64(len(r.history))
 	if !known {
-		u.Full = true
-		for _, o := range r.snapshot.objects {
-			u.Objects = append(u.Objects, objectMessage(o, false))
-		}
-		return u, r.changed
+		return FullUpdate(r.snapshot, u.AgeMs), r.changed
 	}
 	for _, c := range r.history[start:] {
 		for _, e := range c.events {
@@ -206,6 +202,9 @@
 	for _, o := range s.objects {
 		u.Objects = append(u.Objects, objectMessage(o, false))
 	}
+	for _, o := range s.badObjects() {
+		u.Objects = append(u.Objects, objectMessage(o, false))
+	}
 	return u
 }
 
--- a/internal/config/relay_test.go
+++ b/internal/config/relay_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -271,8 +272,9 @@
 func TestWithdrawalReachesGateway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p, n := memplatform.New(), startNode(t)
+		hash := strings.Repeat("00", 32)
 		set := func(withdrawn int64) {
-			put(t, p, world.KindKeySet, "00", world.KeySet{Keys: []world.KeyRecord{{ID: "00-1", Hash: "00", WithdrawnAt: withdrawn}}})
+			put(t, p, world.KindKeySet, "00", world.KeySet{Keys: []world.KeyRecord{{ID: "00-1", Hash: hash, Team: "a", WithdrawnAt: withdrawn}}})
 		}
 		set(0)
 		source := NewSource(p, n.holder, &n.freshness)
@@ -283,12 +285,12 @@
 		h := NewHolder()
 		s, f := subscribe(t, h, n)
 		time.Sleep(10 * time.Second)
-		if k, ok := h.Current().Key("00"); !ok || k.WithdrawnAt != 0 || !s.Synced() || f.AgeMS() > 3000 {
+		if k, ok := h.Current().Key(hash); !ok || k.WithdrawnAt != 0 || !s.Synced() || f.AgeMS() > 3000 {
 			t.Fatalf("key %v, synced %v, age %d ms", ok, s.Synced(), f.AgeMS())
 		}
 		set(1)
 		time.Sleep(2 * time.Second)
-		if k, _ := h.Current().Key("00"); k.WithdrawnAt == 0 {
+		if k, _ := h.Current().Key(hash); k.WithdrawnAt == 0 {
 			t.Fatal("the withdrawal is not in force after 2 s")
 		}
 		p.SetFaults(memplatform.Faults{Down: true})
@@ -299,12 +301,12 @@
 		restarted := NewHolder()
 		again, _ := subscribe(t, restarted, n)
 		time.Sleep(5 * time.Second)
-		if k, _ := restarted.Current().Key("00"); k.WithdrawnAt == 0 || again.Synced() {
+		if k, _ := restarted.Current().Key(hash); k.WithdrawnAt == 0 || again.Synced() {
 			t.Fatalf("restarted in the outage: withdrawn at %d, synced %v", k.WithdrawnAt, again.Synced())
 		}
 		p.SetFaults(memplatform.Faults{OldLists: 1})
 		time.Sleep(30 * time.Second)
-		if k, _ := h.Current().Key("00"); k.WithdrawnAt == 0 {
+		if k, _ := h.Current().Key(hash); k.WithdrawnAt == 0 {
 			t.Fatal("an old list took the withdrawal back")
 		}
 	})
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -3,6 +3,7 @@
 package config
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/json"
 	"maps"
@@ -41,10 +42,11 @@
 // come back with a late event or with a list of a larger revision; older versions may not.
 type absence struct{ version, revision uint64 }
 
-// badObject is an object whose last version can't be parsed.
+// badObject is an object whose last version can't be parsed, or holds values that can't be.
 type badObject struct {
 	version uint64
 	reason  string
+	data    json.RawMessage
 }
 
 // Revision returns the platform revision that the snapshot reflects; 0 for an empty one.
@@ -103,6 +105,16 @@
 	return out
 }
 
+// badObjects returns the versions that can't be used. Relays pass them on in full snapshots: a subscriber that was told nothing of such
+// an object would drop its own last good version.
+func (s *Snapshot) badObjects() []world.Object {
+	out := make([]world.Object, 0, len(s.bad))
+	for k, b := range s.bad {
+		out = append(out, world.Object{Kind: k.kind, Name: k.name, Version: b.version, Data: b.data})
+	}
+	return out
+}
+
 // Objects returns all objects ordered by kind and name.
 func (s *Snapshot) Objects() []world.Object {
 	objects := slices.Collect(maps.Values(s.objects))
@@ -154,7 +166,7 @@
 	delete(s.deleted, k)
 	delete(s.absent, k)
 	if err := s.parse(k, o.Data); err != nil {
-		s.bad[k] = badObject{o.Version, err.Error()}
+		s.bad[k] = badObject{o.Version, err.Error(), o.Data}
 		if good, ok := old.objects[k]; ok {
 			s.store(k, good)
 			// The good version was parsed before, so parsing it again can't fail.
@@ -210,7 +222,11 @@
 	return d
 }
 
+// parse puts an object's value in force, or returns an error and changes nothing.
 func (s *Snapshot) parse(k objectKey, data []byte) error {
+	if string(bytes.TrimSpace(data)) == "null" {
+		return errors.New("parse: the value is null")
+	}
 	switch k.kind {
 	case world.KindTemplate:
 		return parseInto(s.templates, k.name, data)
@@ -223,11 +239,15 @@
 	case world.KindAdmin:
 		return parseInto(s.admins, k.name, data)
 	case world.KindOrders:
-		return parseInto(s.orders, k.name, data)
+		orders := new(world.PoolOrders)
+		if err := parseValid(orders, data); err != nil {
+			return err
+		}
+		s.orders[k.name] = orders
 	case world.KindKeySet:
 		var set world.KeySet
-		if err := json.Unmarshal(data, &set); err != nil {
-			return errors.Wrap(err, "parse")
+		if err := parseValid(&set, data); err != nil {
+			return err
 		}
 		s.keys.replace(k.name, set.Keys)
 	}
@@ -243,6 +263,17 @@
 	return nil
 }
 
+// parseValid parses an object that only the system writes. Impossible values in it are damage, never an operator's choice.
+func parseValid(v world.Validator, data []byte) error {
+	if err := json.Unmarshal(data, v); err != nil {
+		return errors.Wrap(err, "parse")
+	}
+	if found := v.Validate(); len(found) > 0 {
+		return errors.Wrapf(found[0], "%d impossible value(s), the first", len(found))
+	}
+	return nil
+}
+
 func (s *Snapshot) remove(k objectKey, revision uint64) {
 	if held, ok := s.objects[k]; ok {
 		s.digest ^= hashVersion(held)
--- a/internal/config/source_test.go
+++ b/internal/config/source_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -192,6 +193,59 @@
 	}
 }
 
+// Guards against a damaged keyset that takes keys out of force or brings withdrawn ones back, damaged orders that give drained endpoints
+// work again, and relays whose subscribers lose their last good version after the relay has restarted.
+func TestDamagedSystemObjects(t *testing.T) {
+	hash := fmt.Sprintf("%064x", 7)
+	record := func(hash string) string { return `{"id":"00-1","team":"a","hash":"` + hash + `"}` }
+	intent := func(id, kind, state string) string {
+		return `{"intents":[{"order":{"id":"` + id + `","kind":"` + kind + `","endpoint":"e"},"state":"` + state + `"}]}`
+	}
+	for kind, versions := range map[string][]string{
+		world.KindKeySet: {`{"keys":`, `{"keys":"x"}`, `null`, ` null `, `[]`, `{}`, `{"keys":null}`, `{"keys":[{}]}`, `{"keys":[` + record("00") + `]}`,
+			`{"keys":[` + record(strings.Repeat("G0", 32)) + `]}`, `{"keys":[` + record(strings.Repeat("A0", 32)) + `]}`,
+			`{"keys":[` + record(hash) + `,` + record(hash) + `]}`, `{"keys":[{"id":"00-1","hash":"` + hash + `"}]}`,
+			`{"keys":[{"id":"00-1","team":"a","hash":"` + hash + `","withdrawn_at":-1}]}`},
+		world.KindOrders: {`{"drained":`, `{"drained":["e"]}`, `null`, `[]`, `{"fence":-1}`, intent("", "drain", "done"), intent("1", "launch", "done"),
+			intent("1", "drain", "lost"), `{"intents":[{"order":{"id":"1","kind":"drain"},"state":"done"}]}`, `{"abandoned":[""]}`,
+			`{"drained":{"":"x"}}`, `{"cleaned":{"e":-1}}`},
+	} {
+		for _, damaged := range versions {
+			object := func(version uint64, data string) world.Object {
+				return world.Object{Kind: kind, Name: "00", Version: version, Data: json.RawMessage(data)}
+			}
+			good := object(1, map[string]string{world.KindKeySet: `{"keys":[` + record(hash) + `]}`, world.KindOrders: `{"drained":{"e":"test"}}`}[kind])
+			check := func(where string, s *Snapshot) {
+				_, found := s.Key(hash)
+				drained := s.Orders("00") != nil && s.Orders("00").Drained["e"] == "test"
+				if found != (kind == world.KindKeySet) || drained != (kind == world.KindOrders) || s.Bad()[kind+"/00"] == "" {
+					t.Errorf("%s %s %s: key %v, drained %v, bad %v", kind, damaged, where, found, drained, s.Bad())
+				}
+			}
+			h, relay, fresh := NewHolder(), NewHolder(), NewHolder()
+			h.Apply([]world.Event{{Revision: 1, Type: world.EventPut, Object: good}})
+			h.Apply([]world.Event{{Revision: 2, Type: world.EventPut, Object: object(2, damaged)}})
+			check("after the event", h.Current())
+			if err := ApplyUpdate(fresh, FullUpdate(h.Current(), 0)); err != nil {
+				t.Fatal(err)
+			}
+			check("at a new subscriber", fresh.Current())
+			// A relay that restarts lists the damaged version only.
+			if err := relay.Replace([]world.Object{object(2, damaged)}, 3); err != nil {
+				t.Fatal(err)
+			}
+			if err := ApplyUpdate(h, FullUpdate(relay.Current(), 0)); err != nil {
+				t.Fatal(err)
+			}
+			check("after the relay's restart", h.Current())
+			h.Apply([]world.Event{{Revision: 4, Type: world.EventPut, Object: object(4, string(good.Data))}})
+			if len(h.Current().Bad()) > 0 || h.Current().ObjectVersion(kind, "00") != 4 {
+				t.Errorf("%s %s: a repaired version is not in force: %v", kind, damaged, h.Current().Bad())
+			}
+		}
+	}
+}
+
 // BenchmarkApply measures one change to a snapshot of 3,500 teams with one key each; the bound is 5 ms.
 func BenchmarkApply(b *testing.B) {
 	h := NewHolder()
--- a/internal/controller/admin/write.go
+++ b/internal/controller/admin/write.go
@@ -143,6 +143,10 @@
 			if err := json.Unmarshal(o.Data, v); err != nil {
 				return 0, apierror.New(apierror.Conflict, "write a correct version of the object first", "%s %s can't be parsed: %v", kind, name, err)
 			}
+			if set, ok := any(v).(*world.KeySet); ok && len(set.Validate()) > 0 {
+				return 0, apierror.New(apierror.Conflict, "write a correct version of the object first", "%s %s holds an impossible value: %v",
+					kind, name, set.Validate()[0])
+			}
 		}
 		if err := change(v); errors.Is(err, errUnchanged) {
 			return o.Version, nil
--- a/internal/order/save.go
+++ b/internal/order/save.go
@@ -43,6 +43,9 @@
 	if err := json.Unmarshal(o.Data, &state); err != nil {
 		return state, 0, errors.Wrapf(err, "orders/%s is not readable; repair the object", d.o.Pool)
 	}
+	if found := state.Validate(); len(found) > 0 {
+		return state, 0, errors.Wrapf(found[0], "orders/%s holds an impossible value", d.o.Pool)
+	}
 	return state, o.Version, nil
 }
 
