--- a/internal/controller/collector.go
+++ b/internal/controller/collector.go
@@ -71,7 +71,7 @@
 		gone: make(map[string]uint64), without: make(map[string]int), changed: make(chan struct{})}
 }
 
-// Run collects until ctx ends, with one goroutine for the load and one for the cache events of each endpoint.
+// Run collects until ctx ends, with one goroutine for the load of each endpoint and one for the cache events of each engine.
 func (c *Collector) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	var wg sync.WaitGroup
@@ -138,10 +138,18 @@
 		c.reports[name] = r
 		c.update(r, nil)
 		wg.Go(func() { c.pollLoad(endpointCtx, r, e) })
-		wg.Go(func() { c.readCache(endpointCtx, r, e) })
+		if c.cachesPrompts(e) {
+			wg.Go(func() { c.readCache(endpointCtx, r, e) })
+		}
 	}
 }
 
+// cachesPrompts tells whether an endpoint has cache events. A plain service has none and would run the question as a call.
+func (c *Collector) cachesPrompts(e world.Endpoint) bool {
+	pool := c.holder.Current().Pool(e.Pool)
+	return pool != nil && pool.Kind != world.PoolService
+}
+
 func (c *Collector) collects(endpoint string, without []string) bool {
 	vm, ok := c.members.Collector(endpoint, without...)
 	return ok && vm.Name == c.self
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -309,3 +309,43 @@
 		b.check()
 	})
 }
+
+// Guards against an endpoint that is ordered twice or that nobody knows of, when the order of a reclaimable endpoint leaves a frozen
+// process after its successor's repeat was refused. The refusal does not move the provider's version, so the late order may still take
+// effect once; after any order of the successor it must not (G5).
+func TestLateOrderOfReclaimableEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, orderBefore := range []bool{false, true} {
+			b := newBed(t, 1, true, true)
+			add := Proposal{Kind: world.OrderAdd, FailureDomain: "roja", Class: world.Reclaimable}
+			proposals := []Proposal{add}
+			if orderBefore {
+				proposals = append(proposals, Proposal{Kind: world.OrderClean, Endpoint: "e1"})
+			}
+			b.mem.SetReclaimableAvailable("p", false)
+			planners := once(proposals...)
+			first := b.start("h1", planners, clocks{})
+			b.mu.Lock()
+			first.freezeAtSend = 2 * time.Minute
+			b.mu.Unlock()
+			time.Sleep(10 * time.Second)
+			b.start("h2", planners, clocks{})
+			b.await("the refusal of the repeat", func() bool {
+				s := b.state()
+				return s.Fence == 2 && slices.ContainsFunc(s.Intents, func(i world.Intent) bool { return i.Order.Kind == world.OrderAdd && i.State == world.IntentRefused })
+			})
+			b.mem.SetReclaimableAvailable("p", true)
+			time.Sleep(5 * time.Minute)
+			want, endpoints := []string{"add"}, 3
+			if orderBefore {
+				want, endpoints = []string{"clean"}, 2
+			}
+			b.wantKinds("provider", want...)
+			if v := b.Endpoints("p"); len(v) != endpoints || len(b.state().Drained) != 0 {
+				t.Errorf("order before %v: planners see %d endpoints, want %d; drained %v", orderBefore, len(v), endpoints, b.state().Drained)
+			}
+			b.stop()
+			b.check()
+		}
+	})
+}
