--- a/internal/controller/directory.go
+++ b/internal/controller/directory.go
@@ -26,10 +26,14 @@
 	providerTimeout = 5 * time.Second
 	// followRetry is the wait before a lost stream from a poller is set up again.
 	followRetry = time.Second
-	// listHeartbeat is the longest time between two messages of a list's stream, and listSilence how long a stream may be silent. With
-	// 165 VMs a poller has as many followers, whose heartbeats cost it 40 B each.
+	// sourcesEvery is how often a follower looks whether the list of VMs has changed the pollers.
+	sourcesEvery = time.Second
+	// listHeartbeat is the longest time between two messages of a list's stream. With 165 VMs a poller has as many followers, whose
+	// heartbeats cost it 40 B each.
 	listHeartbeat = 3 * time.Second
-	listSilence   = 3 * listHeartbeat
+	// listSilence is how long a stream may be silent. A leaving endpoint may get new work for 5 s, and with 9 s here it did for as long
+	// when the followed controller was frozen.
+	listSilence = listHeartbeat + time.Second
 )
 
 // Directory knows the endpoints of all pools: those in the configuration and those that the provider lists. It reads the provider for
@@ -100,19 +104,55 @@
 // keep keeps the list of one pool current.
 func (d *Directory) keep(ctx context.Context, pool string) {
 	for try := 0; ctx.Err() == nil; try++ {
-		pollers := d.members.Pollers(pool)
-		if d.provider == nil {
-			pollers = append([]world.VM{d.members.Self()}, pollers...)
-		}
-		if d.provider != nil && slices.ContainsFunc(pollers, func(vm world.VM) bool { return vm.Name == d.self }) {
+		sources, polls := d.sources(pool)
+		if polls {
 			d.poll(ctx, pool)
 			ctxtime.Sleep(ctx, providerPeriod*3/4+rand.N(providerPeriod/2))
 			continue
 		}
-		if len(pollers) > 0 {
-			_ = d.follow(ctx, pollers[try%len(pollers)], pool)
+		began := time.Now()
+		if len(sources) > 0 && d.followWhileSource(ctx, sources[try%len(sources)], pool) {
+			continue
+		}
+		// After a stream that lasted the next source is followed at once; one that can't be reached is not asked all the time.
+		if time.Since(began) < listSilence {
+			ctxtime.Sleep(ctx, followRetry)
+		}
+	}
+}
+
+// sources returns the VMs to take a pool's list from, or true when this VM polls the provider itself.
+func (d *Directory) sources(pool string) (vms []world.VM, polls bool) {
+	pollers := d.members.Pollers(pool)
+	if d.provider == nil {
+		return append([]world.VM{d.members.Self()}, pollers...), false
+	}
+	return pollers, slices.ContainsFunc(pollers, func(vm world.VM) bool { return vm.Name == d.self })
+}
+
+// followWhileSource follows a VM until that fails. It returns true when the VM is no source any more. Without that check a VM that became
+// a poller went on following one that was none any more, and that one followed it: both passed on an old list for ever.
+func (d *Directory) followWhileSource(ctx context.Context, vm world.VM, pool string) (changed bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = d.follow(ctx, vm, pool)
+	}()
+	ticker := time.NewTicker(sourcesEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ended:
+			return changed
+		case <-ticker.C:
+		}
+		sources, polls := d.sources(pool)
+		if polls || !slices.ContainsFunc(sources, func(s world.VM) bool { return s.Name == vm.Name }) {
+			changed = true
+			cancel()
 		}
-		ctxtime.Sleep(ctx, followRetry)
 	}
 }
 
