order: test that no order leaves an open connection after a suspension

Cause: the check of the authority at each write of a bound connection was not broken alone; docs/guarantees.md listed it as not proved.

Change: a test orders over real connections whose authority ends on the wall clock only, as after a suspension of the VM, once between the dial and the first write to an engine and once on a kept connection to the provider.

--- /dev/null
+++ b/internal/order/bound_test.go
@@ -0,0 +1,60 @@
+package order
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"crocusglade.example/crocusglade/internal/lease"
+	"crocusglade.example/crocusglade/internal/platform/httpplatform"
+	"crocusglade.example/crocusglade/internal/platform/memplatform"
+	"crocusglade.example/crocusglade/internal/standin"
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+// Guards against an order that leaves on an open connection after a suspension of the VM: the monotonic clock stood still, so no timer
+// has ended the authority, and only the check at the write itself can (G1, G3, G5).
+func TestNoOrderOnOpenConnectionAfterSuspension(t *testing.T) {
+	t.Run("engine", func(t *testing.T) {
+		var orders atomic.Int32
+		server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { orders.Add(1) }))
+		defer server.Close()
+		// The wall clock is read when the authority begins, before the connection is opened, and at each write.
+		var reads atomic.Int32
+		a := lease.NewAuthority(t.Context(), 1, time.Hour, func() time.Time {
+			if reads.Add(1) > 2 {
+				return time.Now().Add(2 * time.Hour)
+			}
+			return time.Now()
+		})
+		err := newHTTPControl(a).Order(t.Context(), world.Endpoint{Addr: server.Listener.Addr().String()}, setRole("late"))
+		if err == nil || orders.Load() != 0 {
+			t.Errorf("%d orders arrived, error %v", orders.Load(), err)
+		}
+		if reads.Load() < 2 {
+			t.Error("no connection was opened, so the run shows nothing")
+		}
+	})
+	t.Run("provider", func(t *testing.T) {
+		mem := memplatform.New()
+		server := httptest.NewServer(standin.NewPlatform(mem))
+		defer server.Close()
+		var skew atomic.Int64
+		a := lease.NewAuthority(t.Context(), 1, time.Hour, func() time.Time { return time.Now().Add(time.Duration(skew.Load())) })
+		client, err := httpplatform.New(server.URL, httpplatform.Options{DialContext: a.DialContext})
+		if err != nil {
+			t.Fatal(err)
+		}
+		view, err := client.Endpoints(t.Context(), "p")
+		if err != nil {
+			t.Fatal(err)
+		}
+		skew.Store(int64(2 * time.Hour))
+		_, err = client.Order(t.Context(), "p", world.Order{ID: "late", Kind: world.OrderAdd, FailureDomain: "roja"}, view.Version)
+		if now, _ := mem.Endpoints(t.Context(), "p"); err == nil || len(now.Endpoints) != 0 {
+			t.Errorf("the late order added %d endpoints, error %v", len(now.Endpoints), err)
+		}
+	})
+}
