admin: drop records of keys that were withdrawn 35 days ago

Cause: records of withdrawn keys were kept for ever, although KeySet speaks of a retention.

Change: issuing and withdrawing drop records of the shard that were withdrawn more than 35 days ago, the retention of sealed windows. A key without a record is refused as unknown and its streams are cancelled like a withdrawn one's.

--- a/internal/controller/admin/keys.go
+++ b/internal/controller/admin/keys.go
@@ -67,6 +67,7 @@
 		if slices.ContainsFunc(set.Keys, func(k world.KeyRecord) bool { return k.ID == record.ID }) {
 			return errUnchanged
 		}
+		dropExpired(set, time.Now())
 		set.Keys = append(set.Keys, record)
 		return nil
 	})
@@ -76,6 +77,16 @@
 	return c.JSON(http.StatusCreated, map[string]string{"id": record.ID, "team": record.Team, "key": key})
 }
 
+// keepWithdrawn is how long the record of a withdrawn key is kept for operators, as long as a sealed usage window. A key without a
+// record is refused like a withdrawn one. Without this bound a shard reaches the platform's limit of 1 MiB, and no key can be issued.
+const keepWithdrawn = 35 * 24 * time.Hour
+
+// dropExpired removes records of keys that were withdrawn longer ago than keepWithdrawn.
+func dropExpired(set *world.KeySet, now time.Time) {
+	oldest := now.Add(-keepWithdrawn).UnixMilli()
+	set.Keys = slices.DeleteFunc(set.Keys, func(k world.KeyRecord) bool { return k.WithdrawnAt != 0 && k.WithdrawnAt < oldest })
+}
+
 func randomID() string {
 	var b [6]byte
 	rand.Read(b[:])
@@ -105,6 +116,7 @@
 			return errUnchanged
 		}
 		set.Keys[i].WithdrawnAt = time.Now().UnixMilli()
+		dropExpired(set, time.Now())
 		return nil
 	})
 	if err != nil {
--- /dev/null
+++ b/internal/controller/admin/keys_test.go
@@ -0,0 +1,53 @@
+package admin
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"crocusglade.example/crocusglade/internal/world"
+)
+
+// Guards against records of withdrawn keys that are never dropped: a shard that reaches the platform's limit of 1 MiB takes no new key. Records
+// that operators may still ask for, and valid keys, stay.
+func TestOldWithdrawnKeysAreDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(t)
+		f.call("boot", "PUT", "/config/team/a", "*", `{"name":"a","template":"t"}`)
+		now := time.Now()
+		for i := range world.KeySetShards {
+			shard := fmt.Sprintf("%02d", i)
+			set := world.KeySet{Keys: []world.KeyRecord{keyRecord(shard+"-valid", 0), keyRecord(shard+"-recent", now.Add(-24*time.Hour).UnixMilli())}}
+			for n := range 100 {
+				set.Keys = append(set.Keys, keyRecord(fmt.Sprintf("%s-%d", shard, n), now.Add(-keepWithdrawn-time.Second).UnixMilli()))
+			}
+			data, _ := json.Marshal(set)
+			if _, err := f.platform.Put(t.Context(), world.KindKeySet, shard, data, 0); err != nil {
+				t.Fatal(err)
+			}
+		}
+		synctest.Wait()
+		for n := range 20 {
+			code, issued := f.call("boot", "POST", "/keys", "", `{"team":"a"}`)
+			if code != 201 {
+				t.Fatalf("key %d: %d %v", n, code, issued)
+			}
+			shard, _, _ := strings.Cut(issued["id"].(string), "-")
+			o, _ := f.platform.Get(t.Context(), world.KindKeySet, shard)
+			var set world.KeySet
+			if err := json.Unmarshal(o.Data, &set); err != nil || len(set.Keys) < 3 || len(set.Keys) > 22 {
+				t.Fatalf("shard %s has %d records, %v", shard, len(set.Keys), err)
+			}
+			if set.Keys[0].ID != shard+"-valid" || set.Keys[1].ID != shard+"-recent" {
+				t.Errorf("shard %s begins with %s and %s", shard, set.Keys[0].ID, set.Keys[1].ID)
+			}
+		}
+	})
+}
+
+func keyRecord(id string, withdrawnAt int64) world.KeyRecord {
+	return world.KeyRecord{ID: id, Hash: strings.Repeat("0", 64), Team: "a", IssuedAt: 1, WithdrawnAt: withdrawnAt}
+}
--- a/internal/e2e/answers_test.go
+++ b/internal/e2e/answers_test.go
@@ -181,9 +181,18 @@
 	for i := range 6 {
 		streams = append(streams, c.openChat(0, c.key("skippers"), fmt.Sprintf("log again %d", i), tokens))
 	}
+	// Its caller learns the id of an answer that is not streamed only with the answer.
+	start, whole := time.Now(), c.chat(0, "skippers", "one object", 4, false)
+	c.record(0, "skippers", "chat", start, whole, expected("one object", 4))
 	if err := c.vms[0].gateway.Kill(); err != nil {
 		t.Fatal(err)
 	}
+	start, again := time.Now(), c.fetch(2, "skippers", whole.id)
+	c.record(2, "skippers", "chat", start, again, expected("one object", 4))
+	t.Logf("an answer that was not streamed, after its gateway was killed: %d whole %v", again.status, again.whole)
+	if again.status != http.StatusNotFound && !again.whole {
+		t.Errorf("G7: fetch of an answer that was not streamed gave %d %s", again.status, again.body)
+	}
 	for i, s := range streams {
 		if r := s.rest(); r.whole {
 			t.Errorf("G7: the killed gateway's stream %s ended as whole", s.id)
--- a/internal/world/config.go
+++ b/internal/world/config.go
@@ -156,7 +156,7 @@
 	WithdrawnAt int64 `json:"withdrawn_at,omitempty"`
 }
 
-// KeySet is one shard of key records. Withdrawn keys stay until retention ends, so that one
+// KeySet is one shard of key records. Withdrawn keys stay for 35 days, so that one
 // version orders additions and withdrawals.
 type KeySet struct {
 	Keys []KeyRecord `json:"keys"`
