Take a refused certificate for a call that was not sent

Cause: with TLS 1.3 a server refuses a client's certificate after the client's handshake, when the client counts as connected. So an expired certificate of the controllers made each order ambiguous, and the pool would lose its engines one after the other; calls of services became unresolved claims, and requests counted as deaths of their endpoints.

Change: a certificate alert of the other side means that nothing of the call was read. crypto/tls gives alerts an unexported type, so they are told by the text of tls.AlertError. TLS 1.2 for orders, where the refusal is part of the handshake, was ruled out as a step back.

--- a/internal/auth/tls.go
+++ b/internal/auth/tls.go
@@ -7,6 +7,7 @@
 	"crypto/x509"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -145,6 +146,17 @@
 	}
 }
 
+// Alerts by which a server refuses a client's certificate (RFC 8446, section 6). With TLS 1.3 they arrive after the client's handshake.
+var certificateAlerts = []tls.AlertError{42, 43, 44, 45, 46, 48, 49, 116}
+
+// CertificateRefused tells whether a call failed because the other side refused the own certificate; it then read nothing of the call.
+func CertificateRefused(err error) bool {
+	// crypto/tls reports an alert as an error of an unexported type, whose text is that of the AlertError.
+	var remote *net.OpError
+	return errors.As(err, &remote) && remote.Op == "remote error" &&
+		slices.ContainsFunc(certificateAlerts, func(a tls.AlertError) bool { return a.Error() == remote.Err.Error() })
+}
+
 // Dial opens a connection, as net.Dialer.DialContext does.
 type Dial = func(ctx context.Context, network, addr string) (net.Conn, error)
 
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -180,7 +180,8 @@
 	return req, nil
 }
 
-// do sends a request and returns the answer with any status. Sent in an error is false only when no connection was made.
+// do sends a request and returns the answer with any status. Sent in an error is false only when no connection was made, or the
+// endpoint refused the certificate.
 func (c *Client) do(hc *http.Client, req *http.Request, addr, op string) (*http.Response, error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
@@ -188,7 +189,7 @@
 	if err == nil {
 		return resp, nil
 	}
-	e := &Error{Addr: addr, Op: op, Reason: Unreachable, Sent: connected.Load(), Err: err}
+	e := &Error{Addr: addr, Op: op, Reason: Unreachable, Sent: connected.Load() && !auth.CertificateRefused(err), Err: err}
 	if e.Sent {
 		e.Reason = Cut
 	}
--- a/internal/endpoint/endpoint_test.go
+++ b/internal/endpoint/endpoint_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -160,6 +161,34 @@
 	}
 }
 
+// Guards against calls that stay unresolved, and requests that count as deaths of endpoints, because endpoints refuse the certificate.
+func TestRefusedCertificateIsNotSent(t *testing.T) {
+	services, other := certtest.NewAuthority(t, "services"), certtest.NewAuthority(t, "other")
+	identity, err := auth.LoadTLS(auth.TLSFiles(services.Write(t.TempDir(), []string{"127.0.0.1"})))
+	if err != nil {
+		t.Fatal(err)
+	}
+	refused, err := auth.LoadTLS(auth.TLSFiles(other.Write(t.TempDir(), nil, services)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	service := standin.NewService(standin.ServiceConfig{})
+	server := httptest.NewUnstartedServer(service)
+	server.Listener = tls.NewListener(server.Listener, identity.ServerConfig(true))
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	server.Start()
+	defer server.Close()
+	client := endpoint.New(endpoint.Options{TLS: refused})
+	defer client.Close()
+	for _, idempotent := range []bool{false, true} {
+		call := endpoint.ServiceCall{Method: "POST", URI: "/x", RequestID: "a", Body: []byte("{}"), Idempotent: idempotent}
+		_, err = client.Call(context.Background(), "https://"+server.Listener.Addr().String(), call)
+		if e := endpoint.AsError(err); e == nil || e.Sent || e.Died() || len(service.Calls()) != 0 {
+			t.Errorf("idempotent %v: %v, %+v", idempotent, err, e)
+		}
+	}
+}
+
 // Guards against a request that leaves in the clear because configuration or provider gave a plain address.
 func TestPlainOutsideLoopbackIsNotDialled(t *testing.T) {
 	dialled := false
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -306,6 +306,16 @@
 		wantErr(t, newHTTPControl(a, load("controller")).Order(t.Context(), e, world.Order{ID: "o1"}), want)
 		server.Close()
 	}
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { orders++ }))
+	server.Listener = tls.NewListener(server.Listener, load("127.0.0.1").ServerConfig(true))
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	server.Start()
+	defer server.Close()
+	stranger := certtest.NewAuthority(t, "other")
+	files := auth.TLSFiles(stranger.Write(t.TempDir(), []string{"controller"}, authority))
+	refused, err := auth.LoadTLS(files)
+	wantErr(t, err, nil)
+	wantErr(t, newHTTPControl(a, refused).Order(t.Context(), world.Endpoint{Addr: "https://" + server.Listener.Addr().String()}, world.Order{ID: "o1"}), ErrNotSent)
 	wantErr(t, newHTTPControl(a, nil).Order(t.Context(), world.Endpoint{Addr: "192.0.2.1:80"}, world.Order{ID: "o1"}), ErrNotSent)
 	if orders != 1 {
 		t.Errorf("%d orders arrived, want 1", orders)
--- a/internal/order/send.go
+++ b/internal/order/send.go
@@ -151,7 +151,9 @@
 	r.Header.Set("Content-Type", "application/json")
 	resp, err := transport.RoundTrip(r)
 	if err != nil {
-		if !connected.Load() {
+		// An endpoint that refuses the certificate reads nothing of the order. Without this an expired certificate would cost the pool
+		// its engines, one ambiguous order after the other.
+		if !connected.Load() || auth.CertificateRefused(err) {
 			return errors.Wrap(ErrNotSent, err.Error())
 		}
 		return errors.Wrap(err, "send order")
