--- a/internal/duty/action.go
+++ b/internal/duty/action.go
@@ -132,9 +132,10 @@
 	})
 }
 
-// startLeftOver finishes what a predecessor or a failed action left half done: an order without answer is resolved, an abandoned endpoint is removed, an endpoint that is
-// still drained for an action returns to service, and entries of endpoints that are gone are dropped. It returns true when it
-// started an action. An operator's drain is part of the pool's configuration and is not touched.
+// startLeftOver finishes what a predecessor or a failed action left half done: an order without answer is resolved, an abandoned
+// endpoint is removed, an endpoint that is still drained for an action returns to service, and entries of endpoints that are gone
+// are dropped. It returns true when it started an action. An operator's drain is part of the pool's configuration and is not
+// touched.
 func (o *Orders) startLeftOver(a *lease.Authority, d *order.Dispatcher, v PoolView, s world.PoolOrders, actions *sync.WaitGroup) bool {
 	if i := slices.IndexFunc(s.Intents, unresolved); i >= 0 {
 		o.run(a, Proposal{Kind: s.Intents[i].Order.Kind, Endpoint: s.Intents[i].Order.Endpoint, Reason: "order without answer"}, actions, d.ResolvePending)
--- a/internal/peer/members.go
+++ b/internal/peer/members.go
@@ -24,8 +24,9 @@
 	at  time.Time
 }
 
-// introduce tells the list of VMs to neighbours that have none, as they say, or may have none since they are silent: a gateway that starts in an outage of the platform knows no
-// address but its own. Only a gateway in contact tells, and only a list that it read from the platform itself.
+// introduce tells the list of VMs to neighbours that have none, as they say, or may have none since they are silent: a gateway that
+// starts in an outage of the platform knows no address but its own. Only a gateway in contact tells, and only a list that it read
+// from the platform itself.
 func (m *Mesh) introduce(ctx context.Context) {
 	if time.Since(m.introducedAt) < introduceEvery || !m.members.FromPlatform() || !m.InContact() {
 		return
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -31,8 +31,9 @@
 
 // Store is the versioned object API.
 //
-// Versions are store-wide revisions. They start at 1: an empty store lists with revision 1, and 0 stands for nothing known. A write whose error is ErrUnavailable or a context error may have taken
-// effect: read the object again and look for the write's own unique id.
+// Versions are store-wide revisions. They start at 1: an empty store lists with revision 1, and 0 stands for nothing known. A write
+// whose error is ErrUnavailable or a context error may have taken effect: read the object again and look for the write's own unique
+// id.
 type Store interface {
 	// Get returns an object or ErrNotFound.
 	Get(ctx context.Context, kind, name string) (world.Object, error)
