Measure choices with load reports every 4 s

Cause: CAPACITY.md bounds a gateway's load reports by telling 200 endpoints every 4 s each, and their effect on choices was not known.

The fleet was 10 and 12 engines, not 200.

--- a/internal/measure/cluster_test.go
+++ b/internal/measure/cluster_test.go
@@ -44,6 +44,8 @@
 	choice rule
 	// lag is the age of load reports; zero means reportLag.
 	lag time.Duration
+	// reportTime is the time between two load reports of an endpoint; zero means reportEvery.
+	reportTime time.Duration
 	// exchange is the time between two exchanges; zero means exchangeEvery.
 	exchangeTime time.Duration
 	fifo         bool
@@ -209,7 +211,7 @@
 		for _, g := range c.gateways {
 			g.choice.update(e.Pool, balancer.Endpoint{Endpoint: endpoint, Load: load, ReportedAt: at})
 		}
-		if pause(ctx, nil, reportEvery) != nil {
+		if pause(ctx, nil, cmp.Or(c.reportTime, reportEvery)) != nil {
 			return
 		}
 	}
--- /dev/null
+++ b/internal/measure/freshness_test.go
@@ -0,0 +1,31 @@
+package measure
+
+import (
+	"testing"
+	"time"
+)
+
+func init() { sections = append(sections, section{1, "rare load reports", measureRareReports}) }
+
+// measureRareReports compares choices where gateways hear of each endpoint as rarely as in a large fleet.
+func measureRareReports(t *testing.T, r *report) {
+	const rare = 4 * time.Second
+	r.printf("## Choice with rare load reports (design 6.10)\n\nA gateway that follows 200 endpoints hears figures of each every %v instead of every %v. The rest is as above.\n\n", rare, reportEvery)
+	var rows [][]string
+	for _, d := range []deployment{rigaGulf(), lkWest()} {
+		for _, every := range []time.Duration{reportEvery, rare} {
+			for _, name := range []rule{predicted, leastOutstanding} {
+				f := &choiceFigures{}
+				for _, results := range eachSeed(t, func(t *testing.T, seed uint64) []result {
+					return run(t, d, record(seed, runLength(), gateways, d.streams), seed, rules{choice: name, reportTime: every})
+				}) {
+					f.add(d, results)
+				}
+				rows = append(rows, []string{d.name, every.String(), string(name), f.p95.millis(), f.inTime.percent(), f.refused.percent()})
+			}
+		}
+	}
+	r.table([]string{"deployment", "reports every", "rule", "p95", "in time", "refused"}, rows)
+	r.printf("Least outstanding uses no reports, so its rows differ by chance alone.\n\n")
+	t.Logf("%v", rows)
+}
