usage: bill an answer once when it is resumed after its gateway died

Cause: counters hold no request ids, so each gateway that resumed an answer of a killed gateway at the engine counted it, also when the killed one had counted it.

Change: copies of counters carry a hash (8 bytes) of the id of each answer that they count, kept for 10 minutes. A gateway that resumes an answer asks the neighbours of the gone gateway, which hold its copies, all in the same order, and counts the answer only if none of them knows it. Not counting resumed answers was ruled out: answers in progress at the kill would never be billed. Left open: a gateway that is only frozen counts its answer too when it wakes; an id may reach a peer up to 10 ms before its counter.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -50,6 +50,7 @@
 	balancer   *balancer.Balancer
 	quarantine *retry.Quarantine
 	ledger     *usage.Ledger
+	answers    *usage.Answers
 	burn       *burn.Recorder
 	subscriber *config.Subscriber
 	mesh       *peer.Mesh
@@ -94,7 +95,7 @@
 
 func newGatewayNode(base *node, s *settings.Gateway) *gatewayNode {
 	g := &gatewayNode{node: base, admission: admission.New(), balancer: balancer.New(seed(base.incarnation)),
-		quarantine: retry.NewQuarantine(quarantineFor), burn: burn.NewRecorder(burn.DefaultObjective), demand: newDemandMeter()}
+		quarantine: retry.NewQuarantine(quarantineFor), burn: burn.NewRecorder(burn.DefaultObjective), answers: usage.NewAnswers(), demand: newDemandMeter()}
 	g.admission.SetSelf(s.VMName)
 	g.balancer.OnEject(func(pool string) { g.telemetry.Metrics.Retry.Ejected(context.Background(), pool) })
 	g.neighbours = newNeighbours(g.admission, g.balancer, g.quarantine)
@@ -104,7 +105,7 @@
 	g.subscriber = config.NewSubscriber(s.VMName, "gateway", g.holder, g.freshness, g.members.Parents, g.clients.DialController)
 	g.readiness = peer.NewReadiness(g.mesh, g.subscriber.Synced)
 	g.entry = &entry{self: g.self, members: g.members, mesh: g.mesh}
-	copier := &usageCopier{node: base, mesh: g.mesh}
+	copier := &usageCopier{node: base, mesh: g.mesh, answers: g.answers}
 	g.ledger = usage.NewLedger(usage.Options{Incarnation: s.VMName + "." + g.incarnation, WindowLength: int64(s.WindowLength / time.Second),
 		Peers: copier.peers, Copier: copier, Sealed: usage.ReadSealed(g.platform),
 		OnCopy: func(accepted bool) { g.telemetry.Metrics.Usage.Copied(context.Background(), accepted) }})
@@ -112,7 +113,7 @@
 	g.gateway = gateway.New(gateway.Options{
 		VM: s.VMName, Incarnation: g.incarnation, Config: g.holder, Keyring: g.keyring, Admission: g.admission, Balancer: g.balancer,
 		Budget: retry.NewBudget(retryRatio), Quarantine: g.quarantine, Claims: claims, Usage: g.ledger, Members: g.entry,
-		Answers: &answerFetcher{node: base}, Endpoints: endpoint.New(g.endpointOptions()),
+		Answers: &answerFetcher{node: base}, Counter: copier, Endpoints: endpoint.New(g.endpointOptions()),
 		ContactLost: func() bool { return !g.readiness.Ready() || !g.mesh.InContact() }, OnDeath: g.died, Observe: g.observe,
 		OnClaim: func(team string, state world.ClaimState) {
 			g.telemetry.Metrics.Claim.Written(context.Background(), team, string(state))
--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -218,8 +218,9 @@
 
 // usageCopier copies counters to peers. Peers are named "<vm>@<incarnation>", so a restarted peer counts as a new one.
 type usageCopier struct {
-	node *node
-	mesh *peer.Mesh
+	node    *node
+	mesh    *peer.Mesh
+	answers *usage.Answers
 }
 
 func (c *usageCopier) peers() []string {
@@ -247,10 +248,50 @@
 	if err != nil {
 		return nil, err
 	}
-	r, err := client.CopyUsage(ctx, &peerpb.CopyUsageRequest{Counters: usageMessages(counters)})
+	answers, confirm := c.answers.Untold(name)
+	r, err := client.CopyUsage(ctx, &peerpb.CopyUsageRequest{Counters: usageMessages(counters), Answers: answers})
+	if err == nil {
+		confirm()
+	}
 	return r.GetClosed(), err
 }
 
+// countTimeout bounds the question to one gateway whether an answer was counted.
+const countTimeout = 500 * time.Millisecond
+
+// CountAnswer implements gateway.AnswerCounter. An answer of another gateway, which is gone, is asked for at that gateway's neighbours,
+// which hold its copies. All ask them in the same order, so of several gateways that resume an answer the first one counts it.
+func (c *usageCopier) CountAnswer(ctx context.Context, origin, requestID string) bool {
+	hash := usage.HashAnswer(requestID)
+	if origin == "" {
+		c.answers.Count(hash)
+		return true
+	}
+	vm, _ := c.node.members.VM(origin)
+	vm.Name = origin
+	for _, holder := range membership.Neighbours(vm, c.node.members.Live()) {
+		if c.counted(ctx, holder, hash) {
+			return false
+		}
+	}
+	return true
+}
+
+// counted notes an answer at a gateway and tells whether it was known there as counted. A gateway without answer knows nothing.
+func (c *usageCopier) counted(ctx context.Context, holder world.VM, hash uint64) bool {
+	if holder.Name == c.node.self.Name {
+		return len(c.answers.Accept([]uint64{hash})) > 0
+	}
+	client, err := c.node.clients.Gateway(holder)
+	if err != nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, countTimeout)
+	defer cancel()
+	r, err := client.CopyUsage(ctx, &peerpb.CopyUsageRequest{Answers: []uint64{hash}})
+	return err == nil && len(r.Counted) > 0
+}
+
 // peerService returns what this gateway serves to other processes.
 func (g *gatewayNode) peerService() *peer.Server {
 	local := &gatewayService{g}
@@ -262,8 +303,8 @@
 type gatewayService struct{ *gatewayNode }
 
 // CopyUsage implements peer.UsageStore.
-func (s *gatewayService) CopyUsage(counters []*peerpb.Usage) []int64 {
-	return s.ledger.Accept(usageCounters(counters))
+func (s *gatewayService) CopyUsage(counters []*peerpb.Usage, answers []uint64) (closed []int64, counted []uint64) {
+	return s.ledger.Accept(usageCounters(counters)), s.answers.Accept(answers)
 }
 
 // CollectWindow implements peer.UsageStore.
--- a/internal/e2e/usage_test.go
+++ b/internal/e2e/usage_test.go
@@ -117,7 +117,7 @@
 	u.history.AddRequest(h)
 }
 
-// streamTokens returns prompt plus output tokens as a stream's usage chunk says.
+// streamTokens returns prompt plus output tokens as a stream's usage chunk, or an answer that is not streamed, says.
 func streamTokens(body string) uint64 {
 	for line := range strings.Lines(body) {
 		var chunk struct {
@@ -126,8 +126,8 @@
 				CompletionTokens uint64 `json:"completion_tokens"`
 			}
 		}
-		data, ok := strings.CutPrefix(strings.TrimSpace(line), "data: ")
-		if ok && json.Unmarshal([]byte(data), &chunk) == nil && chunk.Usage != nil {
+		data := strings.TrimPrefix(strings.TrimSpace(line), "data: ")
+		if json.Unmarshal([]byte(data), &chunk) == nil && chunk.Usage != nil {
 			return chunk.Usage.PromptTokens + chunk.Usage.CompletionTokens
 		}
 	}
@@ -249,3 +249,62 @@
 	u.awaitReports(1)
 	u.finish()
 }
+
+// Guards against an answer that is billed again when it is fetched by its id elsewhere after its gateway was killed: the gateway had
+// counted it, and each gateway that resumes it at the engine would count it too. And against answers in progress at the kill that are
+// billed by each gateway that resumes them, or by none (G6, G7).
+func TestFetchedAnswersAreBilledOnce(t *testing.T) {
+	t.Parallel()
+	u := newUsageCluster(t)
+	const calls = 8
+	prompts := make(map[string]string)
+	for n := range calls {
+		prompt, start := fmt.Sprint("dossier ", n), time.Now()
+		r := u.chat(0, billedTeams[0], prompt, answerTokens, n%2 == 0)
+		u.recordCall(0, billedTeams[0], start, r, expected(prompt, answerTokens))
+		prompts[r.id] = prompt
+	}
+	open := make(map[string]string)
+	for n := range calls {
+		prompt := fmt.Sprint("open dossier ", n)
+		open[u.openChat(0, u.key(billedTeams[0]), prompt, longAnswer).id] = prompt
+	}
+	if err := u.vms[0].gateway.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	var fetches sync.WaitGroup
+	for id, prompt := range prompts {
+		fetches.Go(func() { u.fetchEverywhere(id, expected(prompt, answerTokens), false) })
+	}
+	for id, prompt := range open {
+		fetches.Go(func() { u.fetchEverywhere(id, expected(prompt, longAnswer), true) })
+	}
+	fetches.Wait()
+	u.startGateway(u.vms[0])
+	u.finish()
+}
+
+// longAnswer is the length in tokens of answers that take 1.5 s, so that they are in progress when their gateway is killed.
+const longAnswer = 60
+
+// fetchEverywhere fetches an answer of the first VM's gateway at all others at once. When the caller has not had the answer yet, its first
+// whole copy is recorded.
+func (u *usageCluster) fetchEverywhere(id, want string, record bool) {
+	var all sync.WaitGroup
+	var first sync.Once
+	for vm := 1; vm < vmCount; vm++ {
+		all.Go(func() {
+			start, r := time.Now(), u.fetch(vm, billedTeams[0], id)
+			if !r.whole || r.text != want {
+				u.t.Errorf("G7: fetch of %s at %s: %d, whole %v, %q", id, u.vms[vm].Name, r.status, r.whole, r.text)
+				return
+			}
+			first.Do(func() {
+				if record {
+					u.recordCall(vm, billedTeams[0], start, r, want)
+				}
+			})
+		})
+	}
+	all.Wait()
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -30,6 +30,7 @@
 // call is one request of a caller on its way through the gateway.
 type call struct {
 	id       string
+	origin   string // the VM of the gateway that is gone, for an answer that is resumed
 	arrival  time.Time
 	snapshot *config.Snapshot
 	team     string
--- a/internal/gateway/fetch.go
+++ b/internal/gateway/fetch.go
@@ -162,7 +162,7 @@
 			if g.idProof(id.unproved, c.team, path, name) != id.proof {
 				continue
 			}
-			c.pool, c.id = pool, raw
+			c.pool, c.id, c.origin = pool, raw, id.vm
 			c.setRoute(path)
 			m := &modelCall{call: c, path: path, stream: true}
 			stream, addr := g.findStream(ec.Request().Context(), m)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -99,7 +99,9 @@
 	Quarantine *retry.Quarantine
 	Claims     claim.Claims
 	Usage      usage.Recorder
-	Members    Members
+	// Counter keeps answers from being counted twice; nil counts each.
+	Counter AnswerCounter
+	Members Members
 	// Answers fetches answers from other gateways.
 	Answers   AnswerFetcher
 	Endpoints *endpoint.Client
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -231,9 +231,18 @@
 	s.a.complete()
 }
 
+// AnswerCounter notes an answer before it is counted. It returns false when another gateway has counted it. origin is the VM of the
+// gateway that ran the request first; empty when it is this one.
+type AnswerCounter interface {
+	CountAnswer(ctx context.Context, origin, requestID string) bool
+}
+
 // recordUsage counts a whole answer. When no peer could take a copy the usage is counted here, and the caller still gets its
 // answer, because the answer is whole.
 func (g *Gateway) recordUsage(ctx context.Context, c *call, u endpoint.Usage) {
+	if g.opts.Counter != nil && !g.opts.Counter.CountAnswer(context.WithoutCancel(ctx), c.origin, c.id) {
+		return
+	}
 	c.usage = world.Usage{Requests: 1, PromptTokens: uint64(max(0, u.PromptTokens)), OutputTokens: uint64(max(0, u.CompletionTokens))}
 	err := g.opts.Usage.Record(context.WithoutCancel(ctx), c.team, c.usage)
 	if failed := err != nil; g.copiesFail.Swap(failed) != failed {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -14,7 +14,8 @@
 // UsageStore is what the server needs of a gateway's usage counters.
 type UsageStore interface {
 	// CopyUsage stores counters of another gateway and returns windows that are closed here.
-	CopyUsage(counters []*peerpb.Usage) (closed []int64)
+	// answers holds hashes of the answers that the counters contain; counted are those that were known.
+	CopyUsage(counters []*peerpb.Usage, answers []uint64) (closed []int64, counted []uint64)
 	// CollectWindow closes a window and returns own and copied counters.
 	CollectWindow(ctx context.Context, window int64, holder string, fence uint64) ([]*peerpb.Usage, error)
 }
@@ -67,7 +68,8 @@
 	if s.Usage == nil {
 		return nil, errNotServed
 	}
-	return &peerpb.CopyUsageResponse{Closed: s.Usage.CopyUsage(r.Counters)}, nil
+	closed, counted := s.Usage.CopyUsage(r.Counters, r.Answers)
+	return &peerpb.CopyUsageResponse{Closed: closed, Counted: counted}, nil
 }
 
 // CollectWindow implements peerpb.GatewayServer.
--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -89,9 +89,7 @@
 //
 // Until the sealed window is read, counts of the second kind that no peer confirmed exist in this process only.
 //
-// An answer that was counted by a gateway that died before its caller had the end marker, and that the caller then fetches
-// through another gateway (Gateway.FetchAnswer, resumed at the engine), is counted by both: counters hold no request ids.
-// Only answers in flight when a gateway dies are affected, each at most once for each gateway that dies under it.
+// Counters hold no request ids. Answers keeps an answer that is resumed after its gateway died from being counted again.
 type Ledger struct {
 	o    Options
 	wake chan struct{}
