--- a/internal/admission/limits.go
+++ b/internal/admission/limits.go
@@ -158,6 +158,7 @@
 	waiting    int
 	demand     demandMeter
 	longDemand demandMeter
+	recent     meter  // on all pools, over a longer time
 	peers      Demand // sum over neighbours
 	share      float64
 	shareAt    time.Time
