Find no surplus while an idle pool fills

Change: no team is held back in the first 6 s of work after an idle time. The cost: a flood that begins with an idle pool's first work is divided by the fair queue alone for 6 s.

--- a/internal/admission/share.go
+++ b/internal/admission/share.go
@@ -26,6 +26,9 @@
 	// minSurplusTime is the least time for which a team counts as having a surplus. The served work falls to what the headroom
 	// leaves only after a while, so that the corrected capacity is too large before.
 	minSurplusTime = 1500 * time.Millisecond
+	// rampTime is the time after an idle pool's first work in which no surplus is found: served work lags demand then, so
+	// that every large team seems to have one.
+	rampTime = 2 * shareDemandTime
 	// idleDemand in tokens a second is the demand below which a team is left out of the comparison.
 	idleDemand = 1
 	// minPart bounds the estimate of the capacity from a small part of the requests in progress.
@@ -71,7 +74,8 @@
 	surplus  int     // capacity for teams with a surplus, as configured
 	limit    int     // requests in progress up to which teams with a surplus are admitted
 	reviewed time.Time
-	marked   int // members with a surplus
+	begun    time.Time // when work was first served after an idle time
+	marked   int       // members with a surplus
 }
 
 func newShares(teams map[string]*team) shares {
@@ -117,6 +121,9 @@
 // update brings the moving averages up to date and drops idle members.
 func (s *shares) update(inFlight int, now time.Time, elapsed time.Duration) {
 	weight := 1 - math.Exp(-elapsed.Seconds()/shareDemandTime.Seconds())
+	if s.served.at(now) < idleDemand {
+		s.begun = now
+	}
 	part := float64(inFlight) / float64(max(1, inFlight, s.inFlight))
 	if s.part == 0 {
 		s.part = part
@@ -202,7 +209,7 @@
 		switch {
 		case m.surplus && now.Sub(m.since) >= minSurplusTime && m.now <= leaveFactor*share:
 			p.setSurplus(m, false)
-		case !m.surplus && p.within > 0 && m.now > surplusFactor*share:
+		case !m.surplus && p.within > 0 && now.Sub(p.shares.begun) >= rampTime && m.now > surplusFactor*share:
 			m.since = now
 			p.setSurplus(m, true)
 		}
