--- a/internal/controller/leaving_test.go
+++ b/internal/controller/leaving_test.go
@@ -97,7 +97,7 @@
 	configure(b.holder, world.KindPool, "p", world.Pool{Name: "p", Kind: world.PoolEngine})
 	var endpoints []world.Endpoint
 	for _, name := range leavingEndpoints {
-		endpoints = append(endpoints, world.Endpoint{Name: name, Addr: "10.0.1.1:1", State: world.EndpointReady, Class: world.Reclaimable})
+		endpoints = append(endpoints, world.Endpoint{Name: name, Addr: "https://10.0.1.1:1", State: world.EndpointReady, Class: world.Reclaimable})
 	}
 	b.mem.SetEndpoints("p", endpoints)
 	s := NewLoadSubscriber("vm-0", b.holder, b.members, dial, b.gateway)
