--- a/internal/e2e/planned_test.go
+++ b/internal/e2e/planned_test.go
@@ -188,7 +188,8 @@
 		c.record(leaving.index, "skippers", "chat", start, r, expected(prompt, 8))
 		d.submit(leaving.index, prompt, declaredBody(prompt))
 	}
-	stopLate := c.streamAt(leaving, 3)
+	// These streams outlast the time in which the gateway serves on: 1 s of lifetime and 2 s of notice.
+	stopLate := c.streamAt(leaving, 3, 200)
 	if err := leaving.gateway.Terminate(); err != nil {
 		t.Fatal(err)
 	}
@@ -209,14 +210,14 @@
 }
 
 // streamAt sends a few long streams to one VM and returns, when they are in progress, a function that waits for their answers.
-func (c *cluster) streamAt(v *vm, callers int) (wait func()) {
+func (c *cluster) streamAt(v *vm, callers, tokens int) (wait func()) {
 	var all sync.WaitGroup
 	before := c.engineRequests()
 	for i := range callers {
 		all.Go(func() {
-			prompt, start := fmt.Sprint("long call ", i), time.Now()
-			r := c.chat(v.index, "skippers", prompt, maxStreamTokens, true)
-			c.record(v.index, "skippers", "chat", start, r, expected(prompt, maxStreamTokens))
+			prompt, start := fmt.Sprintf("long call %d at %s", i, v.Name), time.Now()
+			r := c.chat(v.index, "skippers", prompt, tokens, true)
+			c.record(v.index, "skippers", "chat", start, r, expected(prompt, tokens))
 		})
 	}
 	c.await("streams at "+v.Name, func() bool { return c.engineRequests() >= before+callers })
--- a/internal/e2e/rolling_test.go
+++ b/internal/e2e/rolling_test.go
@@ -118,6 +118,8 @@
 	for _, v := range c.vms {
 		c.awaitStreams(v.Name, 8)
 		c.delayLinks(v, noticeDelay)
+		// These streams outlast the time in which the gateway serves on: 3 s of lifetime and 2 s of notice.
+		awaitLong := c.streamAt(v, 2, 260)
 		v.gateway.Terminate()
 		v.controller.Terminate()
 		for _, p := range []interface {
@@ -133,6 +135,7 @@
 				t.Errorf("a process of %s ended with %v", v.Name, p.Err())
 			}
 		}
+		awaitLong()
 		c.delayLinks(v, 0)
 		c.startController(v)
 		c.startGateway(v, flags...)
