--- a/internal/controller/admin/keys_test.go
+++ b/internal/controller/admin/keys_test.go
@@ -1,6 +1,8 @@
 package admin
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"strings"
@@ -48,6 +50,11 @@
 	})
 }
 
+func hashOf(id string) string {
+	sum := sha256.Sum256([]byte(id))
+	return hex.EncodeToString(sum[:])
+}
+
 func keyRecord(id string, withdrawnAt int64) world.KeyRecord {
-	return world.KeyRecord{ID: id, Hash: strings.Repeat("0", 64), Team: "a", IssuedAt: 1, WithdrawnAt: withdrawnAt}
+	return world.KeyRecord{ID: id, Hash: hashOf(id), Team: "a", IssuedAt: 1, WithdrawnAt: withdrawnAt}
 }
