Compute kept headroom once for each review of shares

Cause: the headroom to keep was computed every 50 ms while a team has a surplus, over all teams, under the queue's lock: with 3,500 teams that is a pass of all of them 20 times a second for each pool.

Change: it is computed with the review, every 200 ms.

--- a/internal/admission/share.go
+++ b/internal/admission/share.go
@@ -72,6 +72,7 @@
 	inFlight int     // requests in progress of all gateways
 	part     float64 // moving average of this gateway's part of them
 	surplus  int     // capacity for teams with a surplus, as configured
+	kept     float64 // part of the headroom that is kept free
 	limit    int     // requests in progress up to which teams with a surplus are admitted
 	reviewed time.Time
 	begun    time.Time // when work was first served after an idle time
@@ -109,11 +110,12 @@
 		s.update(p.inFlight, now, elapsed)
 		if p.within > 0 || s.marked > 0 {
 			p.mark(s.level(s.capacity(now)), now)
+			s.kept = s.headroom(now)
 		}
 	}
 	s.limit = p.concurrent
 	if s.marked > 0 {
-		kept := s.headroom(now) * float64(p.concurrent-min(p.concurrent, s.surplus))
+		kept := s.kept * float64(p.concurrent-min(p.concurrent, s.surplus))
 		s.limit = max(1, p.concurrent-int(kept))
 	}
 }
