--- a/internal/controller/collector.go
+++ b/internal/controller/collector.go
@@ -92,6 +92,27 @@
 // reconcile starts and stops the collection of endpoints. An endpoint that another controller collects is dropped silently; one
 // that exists no more is reported as gone.
 func (c *Collector) reconcile(ctx context.Context, wg *sync.WaitGroup) {
+	all := c.reachable()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	without := c.unreachableVMs()
+	c.stopOthers(all, without)
+	for name, e := range all {
+		if !c.collects(name, without) {
+			continue
+		}
+		delete(c.gone, name)
+		if r, ok := c.reports[name]; !ok {
+			c.start(ctx, wg, e)
+		} else if r.endpoint != e {
+			r.endpoint = e
+			c.update(r, r.own)
+		}
+	}
+}
+
+// reachable returns the endpoints of all pools that may be asked for their load.
+func (c *Collector) reachable() map[string]world.Endpoint {
 	all := make(map[string]world.Endpoint)
 	for pool := range c.holder.Current().Pools() {
 		for name, e := range c.directory.Endpoints(pool) {
@@ -100,14 +121,23 @@
 			}
 		}
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	return all
+}
+
+// unreachableVMs returns the other VMs whose controllers some subscriber can't reach. The caller holds the lock.
+func (c *Collector) unreachableVMs() []string {
 	without := make([]string, 0, len(c.without))
 	for vm := range c.without {
 		if vm != c.self {
 			without = append(without, vm)
 		}
 	}
+	return without
+}
+
+// stopOthers ends the collection of endpoints that are gone, have another address or belong to another controller. The caller holds the
+// lock.
+func (c *Collector) stopOthers(all map[string]world.Endpoint, without []string) {
 	for name, r := range c.reports {
 		e, exists := all[name]
 		if exists && c.collects(name, without) && e.Addr == r.endpoint.Addr {
@@ -121,26 +151,17 @@
 			c.wake()
 		}
 	}
-	for name, e := range all {
-		if !c.collects(name, without) {
-			continue
-		}
-		delete(c.gone, name)
-		if r, ok := c.reports[name]; ok {
-			if r.endpoint != e {
-				r.endpoint = e
-				c.update(r, r.own)
-			}
-			continue
-		}
-		endpointCtx, cancel := context.WithCancel(ctx)
-		r := &report{endpoint: e, cancel: cancel}
-		c.reports[name] = r
-		c.update(r, nil)
-		wg.Go(func() { c.pollLoad(endpointCtx, r, e) })
-		if c.cachesPrompts(e) {
-			wg.Go(func() { c.readCache(endpointCtx, r, e) })
-		}
+}
+
+// start begins the collection of an endpoint. The caller holds the lock.
+func (c *Collector) start(ctx context.Context, wg *sync.WaitGroup, e world.Endpoint) {
+	ctx, cancel := context.WithCancel(ctx)
+	r := &report{endpoint: e, cancel: cancel}
+	c.reports[e.Name] = r
+	c.update(r, nil)
+	wg.Go(func() { c.pollLoad(ctx, r, e) })
+	if c.cachesPrompts(e) {
+		wg.Go(func() { c.readCache(ctx, r, e) })
 	}
 }
 
--- a/internal/measure/summary_test.go
+++ b/internal/measure/summary_test.go
@@ -36,6 +36,7 @@
 	{measure: "worst team's p95 under a flood", section: "admission", caption: "flood", column: "worst p95"},
 	{measure: "the same against the median team", target: "at most 1.2", section: "admission", caption: "flood", column: "worst/median"},
 	{measure: "other teams in time under a flood", section: "admission", caption: "flood", column: "others in time"},
+	{measure: "worst team in time under a flood", section: "admission", caption: "flood", column: "worst team in time"},
 	{measure: "endpoint cost against the least", target: "at most 1.15", section: "fleet", column: "cost against the least"},
 	{measure: "work served in the worst hour", section: "fleet", column: "worst hour"},
 	{measure: "late usage reports, of 12", section: "usage reports", column: "late"},
--- a/internal/peer/outbox.go
+++ b/internal/peer/outbox.go
@@ -47,7 +47,8 @@
 
 // newOutbox starts empty, so a new conversation begins with the whole demand and quarantine.
 func newOutbox(rate float64) *outbox {
-	return &outbox{rate: rate, budgetAt: time.Now(), demands: entryBurst, sendsLeft: entryBurst, told: make(map[string]*peerpb.TeamDemand), sends: make(map[string]balancer.Send),
+	return &outbox{rate: rate, budgetAt: time.Now(), demands: entryBurst, sendsLeft: entryBurst,
+		told: make(map[string]*peerpb.TeamDemand), sends: make(map[string]balancer.Send),
 		toldUntil: make(map[uint64]time.Time)}
 }
 
@@ -110,7 +111,8 @@
 			!moved(t.RequestsPerSecond, d.RequestsPerSecond) && t.Concurrent == d.Concurrent {
 			continue
 		}
-		changed = append(changed, &peerpb.TeamDemand{Team: team, TokensPerSecond: d.TokensPerSecond, RequestsPerSecond: d.RequestsPerSecond, Concurrent: d.Concurrent})
+		changed = append(changed, &peerpb.TeamDemand{Team: team, TokensPerSecond: d.TokensPerSecond,
+			RequestsPerSecond: d.RequestsPerSecond, Concurrent: d.Concurrent})
 	}
 	for team := range o.told {
 		if _, ok := o.demand[team]; !ok {
