enginemodel tests: one seed gives one result

Cause: requests that an engine completes in one step, and the status updates of the VMs, happen at the same instant of virtual time and ran in any order. The order decides the moving averages of the predictions, the order of arrival at the next engine and which cached parts are evicted.

Change: the events of request n are n nanoseconds late, and status updates are delivered in the order of the VMs.

--- a/internal/enginemodel/load_test.go
+++ b/internal/enginemodel/load_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 )
@@ -46,6 +47,18 @@
 	}
 }
 
+// Guards against runs that can't be repeated: each run with the same seed has the same result.
+func TestSameSeedSameResult(t *testing.T) {
+	first := simulateSeed(t, 3, 4, true, byPlacement)
+	for range 2 {
+		again := simulateSeed(t, 3, 4, true, byPlacement)
+		if !reflect.DeepEqual(first.inTime, again.inTime) || first.served != again.served || first.sharedTokensPrefilled != again.sharedTokensPrefilled {
+			t.Errorf("%v in time, %d served, %d shared tokens prefilled; before %v, %d, %d", again.inTime, again.served, again.sharedTokensPrefilled,
+				first.inTime, first.served, first.sharedTokensPrefilled)
+		}
+	}
+}
+
 // checkClasses checks that the share in time of each class is at least half of the share of all requests.
 func (r *runResult) checkClasses(t *testing.T, load float64) {
 	t.Helper()
--- a/internal/enginemodel/policies_test.go
+++ b/internal/enginemodel/policies_test.go
@@ -31,9 +31,10 @@
 	go func() {
 		for range (warmUpTime + measuredTime + 8*time.Second) / peerUpdateInterval {
 			time.Sleep(peerUpdateInterval)
+			var deliveries []func() // in the order of the senders: the order of prompts decides which cached parts are evicted
 			for from, f := range views {
 				work, reads := f.CollectWork()
-				time.AfterFunc(peerUpdateDelay, func() {
+				deliveries = append(deliveries, func() {
 					for to, other := range views {
 						if to != from {
 							other.SetPeerWork(fmt.Sprint("vm-", from), work, reads)
@@ -41,6 +42,11 @@
 					}
 				})
 			}
+			time.AfterFunc(peerUpdateDelay, func() {
+				for _, deliver := range deliveries {
+					deliver()
+				}
+			})
 		}
 	}()
 	return func(vm int, p *prompt) *route {
--- a/internal/enginemodel/site_test.go
+++ b/internal/enginemodel/site_test.go
@@ -36,6 +36,8 @@
 	placement.Prompt
 	priority int
 	deadline time.Duration
+	// offset delays the events of the request, so that they never happen at the same instant as those of another one.
+	offset time.Duration
 }
 
 var classes = []class{
@@ -87,6 +89,9 @@
 	result runResult
 }
 
+// defaultSeed seeds the random numbers of runs whose test names no seed.
+const defaultSeed = 7
+
 // runResult holds the results of a run.
 type runResult struct {
 	// requests and inTime are the numbers of requests, and of those with their first token within the objective, by class.
@@ -127,10 +132,17 @@
 }
 
 // simulate runs a load, given as a multiple of the load of a calm day, with a policy.
-func simulate(t *testing.T, load float64, changingMix bool, newPolicy func(s *site) func(vm int, p *prompt) *route) (result runResult) {
+func simulate(t *testing.T, load float64, changingMix bool, newPolicy func(s *site) func(vm int, p *prompt) *route) runResult {
+	t.Helper()
+	return simulateSeed(t, defaultSeed, load, changingMix, newPolicy)
+}
+
+// simulateSeed is simulate with the seed of the random numbers. Runs with the same seed have the same result: events of different
+// requests never happen at the same instant, because those of request n are n nanoseconds late.
+func simulateSeed(t *testing.T, seed uint64, load float64, changingMix bool, newPolicy func(s *site) func(vm int, p *prompt) *route) (result runResult) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		s := &site{engines: make(map[string]*enginemodel.Engine), random: rand.New(rand.NewPCG(7, 11)),
+		s := &site{engines: make(map[string]*enginemodel.Engine), random: rand.New(rand.NewPCG(seed, 11)),
 			result: runResult{requests: make(map[string]int), inTime: make(map[string]int)}}
 		for i := range siteEngines {
 			e := catalog.Endpoint{ID: fmt.Sprintf("e%02d", i), Service: "llm", FailureDomain: fmt.Sprint("z", i%3), Role: catalog.Decode}
@@ -172,6 +184,7 @@
 		}
 		c := classes[pickWeighted(s.random, weights)]
 		p := s.prompt(&c, n)
+		p.offset = time.Duration(n)
 		go s.serve(&c, p, int(max(min(lognormal(s.random, c.output, 1), 48), 1)), n%siteVMs, time.Since(start) >= warmUpTime)
 	}
 }
@@ -223,13 +236,14 @@
 		parts = append(parts, enginemodel.Part(part))
 	}
 	var firstToken atomic.Int64 // a time.Duration
-	ok := r.prefillEngine == "" || s.runOnEngine(deadline, r.prefillEngine, r.prefillFetchFrom, &enginemodel.Request{Parts: parts})
+	ok := r.prefillEngine == "" || s.runOnEngine(deadline, p.offset, r.prefillEngine, r.prefillFetchFrom, &enginemodel.Request{Parts: parts})
 	if ok {
 		if r.prefillEngine != "" {
 			r.onPrefillDone()
 			r.decodeFetchFrom = r.prefillEngine
 		}
-		ok = s.runOnEngine(deadline, r.decodeEngine, r.decodeFetchFrom, &enginemodel.Request{Parts: parts, Output: output, OnFirstToken: func() {
+		ok = s.runOnEngine(deadline, p.offset, r.decodeEngine, r.decodeFetchFrom, &enginemodel.Request{Parts: parts, Output: output, OnFirstToken: func() {
+			time.Sleep(p.offset)
 			firstToken.Store(int64(time.Since(start) + engineDelay + callerRoundTrip/2))
 			r.onFirstToken()
 		}})
@@ -262,9 +276,9 @@
 	}
 }
 
-// runOnEngine runs a request on an engine, which first fetches cached parts from another engine if fetchFrom is set. It returns
-// false if the deadline passes first.
-func (s *site) runOnEngine(deadline *time.Timer, engine, fetchFrom string, r *enginemodel.Request) bool {
+// runOnEngine runs a request on an engine, which first fetches cached parts from another engine if fetchFrom is set, and returns the
+// offset after the engine has completed it. It returns false if the deadline passes first.
+func (s *site) runOnEngine(deadline *time.Timer, offset time.Duration, engine, fetchFrom string, r *enginemodel.Request) bool {
 	e := s.engines[engine]
 	time.Sleep(engineDelay)
 	if fetchFrom != "" {
@@ -275,6 +289,7 @@
 	e.SubmitRequest(r)
 	select {
 	case <-done:
+		time.Sleep(offset)
 		return true
 	case <-deadline.C:
 		e.CancelRequest(r)
