Bound what an endpoint may send that is no response; faults on the platform path

Cause: an endpoint in trouble may send bytes without end, in a head or a body. The body of a response to an earlier request was skipped without a bound, an event without an end was buffered without a bound and counted as progress, and a response above 16 MiB was cut there and passed on as complete.

Change: a response that exceeds its bound (64 KiB of header, 1 MiB of a skipped body, 16 MiB of a buffered one and 64 MiB for all of a VM, 256 KiB without the end of an event) fails the exchange: the connection is reset, the endpoint counts as failed, and the request is retried where its route allows that. Bytes that complete no event are no sign of progress, so a stream that gets only such bytes fails over. A refusal's body is read for 50 ms at most.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -221,7 +221,7 @@
 	return w, nil
 }
 
-// WaitingByClass returns the number of waiting requests of all pools by priority class.
+// WaitingByClass returns the number of waiting requests of all pools by priority class, including those of surplus classes.
 func (q *Queue) WaitingByClass() [apitypes.PriorityClasses]int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -229,7 +229,7 @@
 	for _, p := range q.pools {
 		for i := range p.classes {
 			for _, f := range p.classes[i].active {
-				out[i] += f.waiting.Len()
+				out[i%apitypes.PriorityClasses] += f.waiting.Len()
 			}
 		}
 	}
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -108,6 +108,22 @@
 	})
 }
 
+// Guards against a panic, or waiting requests that are not counted, when requests above their team's fair share wait.
+func TestWaitingByClassCountsSurplus(t *testing.T) {
+	q := New()
+	q.SetTeams(map[string]TeamConfig{"a": {}})
+	q.SetCapacity("p", 1, 1000)
+	p := q.pools["p"]
+	for _, class := range []int{1, 1 + apitypes.PriorityClasses} {
+		if !p.enqueue(&waiter{class: class, team: q.teams["a"], tokens: 1}) {
+			t.Fatal("the queue is full")
+		}
+	}
+	if got := q.WaitingByClass(); got != [apitypes.PriorityClasses]int{0, 2} {
+		t.Errorf("waiting by class: %v", got)
+	}
+}
+
 // A request that is cancelled while it waits must not stay in the queue or in the counts of its team.
 func TestCancelledWaiterIsRemoved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/gateway/fetch.go
+++ b/internal/gateway/fetch.go
@@ -190,6 +190,9 @@
 		if timer.Stop() && err == nil {
 			return stream, e.Addr
 		}
+		if err == nil {
+			stream.Close()
+		}
 		cancel()
 	}
 	return nil, ""
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -161,7 +161,9 @@
 type Server struct {
 	Config
 	inFlight atomic.Int64
-	started  time.Time
+	// bufferedBytes is the size of the responses that are currently buffered.
+	bufferedBytes atomic.Int64
+	started       time.Time
 	// pickCount is the number of requests that were assigned to one of their route's services; see nextPick.
 	pickCount atomic.Uint64
 }
@@ -177,7 +179,7 @@
 	revokeMargin = 300 * time.Millisecond
 	// timeoutMargin is how long before the route's time-out the final response is sent.
 	timeoutMargin = 20 * time.Millisecond
-	// defaultTimeout is the time limit of requests whose callers send none. A shorter time-out of the route takes precedence.
+	// defaultTimeout is the time limit of requests for which neither the caller nor the route sets one.
 	defaultTimeout = 30 * time.Second
 	// startupGrace is how long after the start requests wait for the configuration and the endpoints to load, startupPollInterval how
 	// often a request checks for them.
@@ -213,6 +215,8 @@
 	// mayHaveRun is set once an endpoint may have started to run the request.
 	mayHaveRun   bool
 	usageCounted bool
+	// reservedBytes is the part of bufferedBytes that belongs to this request.
+	reservedBytes int
 	// firstResponseAfter is the time from the request's arrival to the first part of its response; 0 before there is one.
 	firstResponseAfter time.Duration
 	// The following fields are for the log.
@@ -229,6 +233,7 @@
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	c := &call{Server: s, ctx: ctx, r: r, w: w, excluded: make(map[string]bool)}
+	defer c.releaseBuffer()
 	s.awaitReady(ctx)
 	if refusal, retryAfter := c.admit(); refusal != nil {
 		c.refuse(refusal, retryAfter)
@@ -312,14 +317,16 @@
 
 // timeLimit returns how long the request may take: the shorter of the caller's limit and the route's time-out less timeoutMargin.
 func (c *call) timeLimit() time.Duration {
-	limit := c.r.Timeout
-	if limit <= 0 {
-		limit = defaultTimeout
-	}
-	if c.route.Timeout > 0 {
-		limit = min(limit, c.route.Timeout-timeoutMargin)
+	caller, route := c.r.Timeout, c.route.Timeout-timeoutMargin
+	switch {
+	case c.route.Timeout <= 0 && caller <= 0:
+		return defaultTimeout
+	case c.route.Timeout <= 0:
+		return caller
+	case caller <= 0:
+		return route
 	}
-	return limit
+	return min(caller, route)
 }
 
 // nextPick returns the next number of a low-discrepancy sequence in [0,1). Unlike random numbers, it splits even a few requests
--- a/internal/ingress/plain.go
+++ b/internal/ingress/plain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -14,8 +13,6 @@
 )
 
 const (
-	// maxResponseBytes is the largest response of a plain service. Responses are buffered in full before they are sent to the caller.
-	maxResponseBytes = 16 << 20
 	// retryAfterFull is the Retry-After time of a plain service none of whose endpoints responded.
 	retryAfterFull = 150 * time.Millisecond
 	// crashProbeTimeout is the time-out of the connection attempt that checks whether an endpoint has crashed.
@@ -76,14 +73,14 @@
 	}
 	defer a.Body.Close()
 	if a.NotRun {
-		_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxResponseBytes)) // drain the body so that the connection can be reused
+		drain(a.Body)
 		c.recordRefusal(attempt, a.Misdirected)
 		return nil, true
 	}
 	c.mayHaveRun = true
 	c.firstResponseAfter = time.Since(c.r.Arrived)
 	c.countUsage()
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxResponseBytes))
+	body, err := c.readBody(a.Body)
 	if err != nil {
 		return nil, c.recordFailure(attempt, &upstream.SendError{MaySent: true, Err: err})
 	}
@@ -105,7 +102,7 @@
 func (c *call) recordFailure(attempt *placement.Attempt, err error) (retryable bool) {
 	if c.ctx.Err() != nil {
 		attempt.Done(placement.Abandoned)
-		c.mayHaveRun = true
+		c.mayHaveRun = c.mayHaveRun || !unsent(err)
 		c.detail = appendDetail(c.detail, "request ended while waiting for "+attempt.Endpoint.ID)
 		return false
 	}
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -32,8 +32,24 @@
 	started atomic.Bool
 	// lastEvent is the id of the last event that was sent to the caller.
 	lastEvent string
-	// partialEvent holds the bytes of an event that is not complete yet.
+	// partialEvent holds the bytes of an event that is not complete yet. It is empty for streams that can't be resumed.
 	partialEvent []byte
+	// partialBytes is the number of bytes that the engine has sent since the last read that completed an event. endsInNewline is
+	// true if the last of them is a newline, which may be the first half of an event's end.
+	partialBytes  int
+	endsInNewline bool
+}
+
+// completesEvent counts received bytes and reports whether they complete an event.
+func (st *streamState) completesEvent(p []byte) bool {
+	complete := bytes.Contains(p, eventEnd) || st.endsInNewline && p[0] == '\n'
+	st.endsInNewline = p[len(p)-1] == '\n'
+	if complete {
+		st.partialBytes = 0
+		return true
+	}
+	st.partialBytes += len(p)
+	return false
 }
 
 // serveEngine serves a request with a prompt and streams the generated tokens. It retries or resumes at other engines where the route
@@ -145,7 +161,7 @@
 	}
 	defer a.Body.Close()
 	if a.NotRun {
-		_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxResponseBytes)) // drain the body so that the connection can be reused
+		drain(a.Body)
 		c.recordRefusal(plan.Decode, a.Misdirected)
 		if !a.Misdirected {
 			c.freeHandle(handle)
@@ -228,23 +244,30 @@
 	}
 	buf := make([]byte, streamBuffer)
 	firstRead := true
+	st.partialBytes, st.endsInNewline = 0, false
 	for {
 		n, err := a.Body.Read(buf)
 		if n > 0 {
-			w.recordActivity()
-			attempt.RecordActivity()
 			if firstRead {
 				firstRead = false
 				attempt.RecordFirstToken()
 				plan.RecordFirstToken()
 				c.countUsage()
 			}
+			// Bytes that complete no event are no sign of progress: the engine may send them without end.
+			if st.completesEvent(buf[:n]) {
+				w.recordActivity()
+				attempt.RecordActivity()
+			}
 			if writeErr := c.forward(st, a, buf[:n]); writeErr != nil {
 				attempt.Done(placement.Abandoned)
 				c.detail = appendDetail(c.detail, "write to caller: "+writeErr.Error())
 				return false, false
 			}
 		}
+		if st.partialBytes > maxEventBytes {
+			err = errEventTooLarge
+		}
 		if err == io.EOF {
 			return c.completeStream(attempt, a, st), false
 		}
@@ -261,7 +284,7 @@
 
 // relayFailure sends an engine's error response to the caller, unless the stream has started or another engine may be tried.
 func (c *call) relayFailure(attempt *placement.Attempt, a *Answer, st *streamState) (done, retryable bool) {
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxResponseBytes))
+	body, err := c.readBody(a.Body)
 	if err != nil {
 		return false, c.recordFailure(attempt, &upstream.SendError{MaySent: true, Err: err})
 	}
--- a/internal/objectstore/httpplatform/httpplatform.go
+++ b/internal/objectstore/httpplatform/httpplatform.go
@@ -234,7 +234,8 @@
 
 func (q request) cacheKey() string { return q.path + "?" + q.query.Encode() }
 
-func (c *Client) newRequest(ctx context.Context, q request) (*http.Request, error) {
+// newRequest builds a call. A read is conditional on prev, the cached response that a 304 Not Modified would refer to.
+func (c *Client) newRequest(ctx context.Context, q request, prev cachedResponse) (*http.Request, error) {
 	target := strings.TrimSuffix(c.baseURL.String(), "/") + q.path
 	if len(q.query) > 0 {
 		target += "?" + q.query.Encode()
@@ -250,7 +251,7 @@
 	if q.body != nil {
 		r.Header.Set("Content-Type", "application/json")
 	}
-	if prev := c.cached(q); prev.etag != "" {
+	if prev.etag != "" {
 		r.Header.Set("If-None-Match", prev.etag)
 	}
 	switch {
@@ -270,7 +271,8 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	r, err := c.newRequest(callCtx, q)
+	prev := c.cached(q)
+	r, err := c.newRequest(callCtx, q, prev)
 	if err != nil {
 		return err
 	}
@@ -280,7 +282,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if q.conditional {
-		return c.decodeConditional(ctx, q, resp, out)
+		return c.decodeConditional(ctx, q, prev, resp, out)
 	}
 	if resp.StatusCode != http.StatusOK {
 		return statusError(resp)
@@ -306,9 +308,9 @@
 	return c.cache[q.cacheKey()]
 }
 
-// decodeConditional decodes the response of a conditional read, or the cached one when the platform replies 304 Not Modified.
-func (c *Client) decodeConditional(ctx context.Context, q request, resp *http.Response, out any) error {
-	prev := c.cached(q)
+// decodeConditional decodes the response of a conditional read, or prev when the platform replies 304 Not Modified. The cache may hold
+// the response to a later read by then.
+func (c *Client) decodeConditional(ctx context.Context, q request, prev cachedResponse, resp *http.Response, out any) error {
 	if resp.StatusCode == http.StatusNotModified && prev.etag != "" && resp.Header.Get("ETag") == prev.etag {
 		return json.Unmarshal(prev.body, out)
 	}
--- a/internal/objectstore/httpplatform/httpplatform_test.go
+++ b/internal/objectstore/httpplatform/httpplatform_test.go
@@ -257,3 +257,68 @@
 		}
 	}
 }
+
+// Guards against a conditional read that fails because a later read has replaced the cached response in the meantime: its 304 Not
+// Modified refers to the response that was cached when it was sent.
+func TestConditionalReadDuringLaterRead(t *testing.T) {
+	slowArrived, release := make(chan struct{}), make(chan struct{})
+	var reads atomic.Int32
+	c := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch reads.Add(1) {
+		case 1:
+			w.Header().Set("ETag", `"1"`)
+			_, _ = w.Write([]byte(`{"vms":[{"name":"old"}]}`))
+		case 2:
+			close(slowArrived)
+			<-release
+			w.Header().Set("ETag", `"1"`)
+			w.WriteHeader(http.StatusNotModified)
+		default:
+			w.Header().Set("ETag", `"2"`)
+			_, _ = w.Write([]byte(`{"vms":[{"name":"new"}]}`))
+		}
+	}), httpplatform.Options{})
+	if _, err := c.ListVMs(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() {
+		vms, err := c.ListVMs(t.Context())
+		if err == nil && (len(vms) != 1 || vms[0].Name != "old") {
+			err = errors.Errorf("got %+v", vms)
+		}
+		done <- err
+	}()
+	<-slowArrived
+	if _, err := c.ListVMs(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	close(release)
+	if err := <-done; err != nil {
+		t.Errorf("the slow read: %v", err)
+	}
+}
+
+// Guards against a healthy watch that ends because handling an event took longer than the idle limit.
+func TestSlowHandlerDoesNotEndWatch(t *testing.T) {
+	const idle = 100 * time.Millisecond
+	c := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for range 2 {
+			_, _ = w.Write([]byte(`{"type":"put","revision":1}` + "\n"))
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(3 * idle) // the second event arrives while the first is handled
+		}
+	}), httpplatform.Options{WatchIdle: idle})
+	errDone := errors.New("both events handled")
+	events := 0
+	err := c.Watch(t.Context(), []string{"team"}, 0, func(apitypes.Event) error {
+		if events++; events == 2 {
+			return errDone
+		}
+		time.Sleep(4 * idle)
+		return nil
+	})
+	if !errors.Is(err, errDone) {
+		t.Errorf("the watch ended with %v after %d events", err, events)
+	}
+}
--- a/internal/objectstore/httpplatform/watch.go
+++ b/internal/objectstore/httpplatform/watch.go
@@ -29,7 +29,7 @@
 	defer idle.Stop()
 	r, err := c.newRequest(watchCtx, request{method: http.MethodGet, path: "/watch", query: url.Values{
 		"kinds": {strings.Join(kinds, ",")}, "from": {strconv.FormatUint(from, 10)},
-	}})
+	}}, cachedResponse{})
 	if err != nil {
 		return err
 	}
@@ -47,10 +47,11 @@
 		if err := decoder.Decode(&e); err != nil {
 			return watchError(ctx, watchCtx, err)
 		}
-		idle.Reset(c.watchIdle)
+		idle.Stop() // the time that handle takes says nothing about the connection
 		if err := handle(e); err != nil {
 			return err
 		}
+		idle.Reset(c.watchIdle)
 	}
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -42,6 +42,8 @@
 	maxInlineBodyBytes = 16 << 10
 	// maxStaleResponses bounds the responses read for one request, including interim (1xx) ones and those to earlier requests.
 	maxStaleResponses = 4
+	// maxStaleBodyBytes bounds the body of a response to an earlier request. A longer one, which may have no end, ends the connection.
+	maxStaleBodyBytes = 1 << 20
 )
 
 // SendError is the error of a failed exchange. If MaySent is false, no byte of the request was sent.
@@ -273,7 +275,8 @@
 		if r.ID == "" || id == "" || id == r.ID {
 			return resp, nil
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
+		skipped, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStaleBodyBytes))
+		if err != nil || resp.Close || skipped == maxStaleBodyBytes {
 			return nil, errors.Wrap(ErrMalformed, "connection ended with a response to another request")
 		}
 	}
@@ -284,10 +287,14 @@
 func (c *conn) readResponseHeader(method string) (*http.Response, error) {
 	c.limitedReader.N = maxHeaderBytes
 	resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
+	tooLong := c.limitedReader.N <= 0
 	c.limitedReader.N = 1 << 62
 	if err == nil {
 		return resp, nil
 	}
+	if tooLong {
+		return nil, errors.Wrapf(ErrMalformed, "response header is above %d bytes", maxHeaderBytes)
+	}
 	if isTransportError(err) {
 		return nil, err
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -153,6 +153,38 @@
 	}
 }
 
+// Guards against an endpoint in trouble that sends bytes without end where a response is due, until its caller closes: each kind must
+// end the exchange as malformed and reset the connection, long before the request's own time limit.
+func TestBytesWithoutEndAreMalformed(t *testing.T) {
+	filler := strings.Repeat("x", 8192)
+	for name, start := range map[string]string{
+		"no response":                     "",
+		"header field":                    "HTTP/1.1 200 OK\r\nX-Long: ",
+		"body of a response to another":   "HTTP/1.1 200 OK\r\n" + idHeader + ": other\r\n\r\n",
+		"chunks of a response to another": "HTTP/1.1 200 OK\r\n" + idHeader + ": other\r\nTransfer-Encoding: chunked\r\n\r\n40000000\r\n",
+	} {
+		closed := make(chan error, 1)
+		addr := startServer(t, func(_ int, c *net.TCPConn, br *bufio.Reader) {
+			_, _, _ = readRequest(br)
+			_, err := io.WriteString(c, start)
+			for err == nil {
+				_, err = io.WriteString(c, filler)
+			}
+			closed <- err
+		})
+		started := time.Now()
+		_, _, err := exchange(t, New(idHeader), addr, newRequest("x"))
+		if !errors.Is(err, ErrMalformed) || time.Since(started) > 2*time.Second {
+			t.Errorf("%s: %v after %v, want ErrMalformed", name, err, time.Since(started))
+		}
+		select {
+		case <-closed:
+		case <-time.After(2 * time.Second):
+			t.Errorf("%s: the connection was not closed", name)
+		}
+	}
+}
+
 // Guards against a retry by the client itself: a request whose connection failed must reach the endpoint at most once.
 func TestNothingIsSentTwice(t *testing.T) {
 	seen := make(chan string, 8)
