Usage counts reach the holder of the duties, or the log says what lacks

Cause: usage counts went to the first five VMs by name only. Nothing was logged. Counts were also dropped whole when a status message exceeded a datagram, and VMs that receive counts without ever reporting them never dropped any.

Change: a status message carries the sender's fencing token of the duties lease, and counts go to the holder and to the first five VMs by name. They are datagrams of their own, in parts of a packet each. A report says up to which window its counts are final. The holder seals a window when it has the final counts of all VMs that it heard of since the window's start, reads missing ones over TCP, and after 0.4 of the time limit (usage_late_s) reports without them, with a log line that names the VMs and a counter.

--- a/internal/metering/metering.go
+++ b/internal/metering/metering.go
@@ -1,14 +1,23 @@
-// Package metering counts the requests that began to run, by team and usage window, and merges the counts of all VMs.
+// Package metering counts the requests that began to run, by team and usage window, and collects the counts of all VMs at the VM that
+// reports them.
+//
+// A Meter counts at one VM. Its reports are sent to the VMs that may hold the duties lease, each of which merges them in a Ledger. The
+// Reporter of the lease's holder seals and reports the sums, once it has the final counts of all VMs.
 package metering
 
 import (
-	"maps"
 	"sync"
 	"time"
 )
 
-// retainedWindows is the number of windows before the current one that are retained, for VMs that have not received their counts.
-const retainedWindows = 6
+const (
+	// retainedWindows is the number of windows before the current one that a Meter retains, for VMs that have not received their counts.
+	retainedWindows = 6
+	// reportedWindows is the number of windows before the current one whose counts are in a Report. Older ones are fetched if missing.
+	reportedWindows = 3
+	// countOverheadBytes is the encoded size of a count besides the name of its team.
+	countOverheadBytes = 8
+)
 
 // Window is the number of a usage window, which starts Window times the window's length after the Unix epoch.
 type Window int64
@@ -16,13 +25,29 @@
 // Counts holds numbers of requests by team.
 type Counts map[string]uint64
 
+// Report is a part of the counts of one incarnation of a VM: the counts since the window reportedWindows before Current, which grow until
+// a window ends.
+type Report struct {
+	// Incarnation is the ID of one start of a VM's process.
+	Incarnation string
+	// Sequence numbers the reports of an incarnation. All parts of a report have the same number.
+	Sequence    uint64
+	Part, Parts int
+	// Current is the window that was current at the VM. The counts of earlier ones are final.
+	Current Window
+	Counts  map[Window]Counts
+}
+
 // Meter counts the requests of this VM. Its methods may be called concurrently.
 type Meter struct {
 	length time.Duration
 	now    func() time.Time
 
-	mu      sync.Mutex
-	windows map[Window]Counts
+	mu       sync.Mutex
+	windows  map[Window]Counts
+	sequence uint64
+	// reported is the window after the latest one whose counts were reported as final.
+	reported Window
 }
 
 // NewMeter returns a meter for windows of the given length. now returns the estimated Unix time.
@@ -36,14 +61,16 @@
 // Current returns the current window.
 func (m *Meter) Current() Window { return m.WindowAt(m.now()) }
 
-// WindowEnd returns the end of a window.
-func (m *Meter) WindowEnd(w Window) time.Time { return time.Unix(0, int64(w+1)*int64(m.length)) }
+// WindowStart and WindowEnd return the start and the end of a window.
+func (m *Meter) WindowStart(w Window) time.Time { return time.Unix(0, int64(w)*int64(m.length)) }
+func (m *Meter) WindowEnd(w Window) time.Time   { return m.WindowStart(w + 1) }
 
-// CountRequest counts a request that began to run for a team, and drops windows that are no longer retained.
+// CountRequest counts a request that began to run for a team, and drops windows that are no longer retained. Windows that were reported
+// as final get no more counts, also if the estimated time moves back.
 func (m *Meter) CountRequest(team string) {
-	w := m.Current()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	w := m.currentLocked()
 	if m.windows[w] == nil {
 		m.windows[w] = make(Counts)
 		for old := range m.windows {
@@ -55,10 +82,21 @@
 	m.windows[w][team]++
 }
 
-// Recent returns a copy of the counts of the retained windows.
-func (m *Meter) Recent() map[Window]Counts {
+// currentLocked returns the current window, but none that was reported as final. If the estimated time has moved back by more than a
+// window, it was wrong before, and the window is the one of the new estimate.
+func (m *Meter) currentLocked() Window {
+	current := m.Current()
+	if m.reported > current+1 {
+		m.reported = current
+	}
+	return max(current, m.reported)
+}
+
+// Recent returns a copy of the counts of the retained windows, and the current window. The counts of earlier windows are final.
+func (m *Meter) Recent() (map[Window]Counts, Window) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.reported = m.currentLocked()
 	all := make(map[Window]Counts, len(m.windows))
 	for w, counts := range m.windows {
 		copied := make(Counts, len(counts))
@@ -67,94 +105,40 @@
 		}
 		all[w] = copied
 	}
-	return all
-}
-
-// Ledger holds the latest counts of all VMs. Its methods may be called concurrently.
-type Ledger struct {
-	mu sync.Mutex
-	// byIncarnation holds the counts by incarnation, the ID of one start of a VM's process.
-	byIncarnation map[string]map[Window]Counts
+	return all, m.reported
 }
 
-// NewLedger returns an empty ledger.
-func NewLedger() *Ledger { return &Ledger{byIncarnation: make(map[string]map[Window]Counts)} }
-
-// MergeCounts merges the counts of one incarnation of a VM. Counts only grow, so the higher number is kept and older counts have no
-// effect.
-func (l *Ledger) MergeCounts(incarnation string, windows map[Window]Counts) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	known := l.byIncarnation[incarnation]
-	if known == nil {
-		known = make(map[Window]Counts)
-		l.byIncarnation[incarnation] = known
-	}
+// Report returns the counts as a report of an incarnation, in parts whose encoded counts have about partBytes bytes at most. There is at
+// least one part, because a report without counts is final too.
+func (m *Meter) Report(incarnation string, partBytes int) []Report {
+	windows, current := m.Recent()
+	m.mu.Lock()
+	m.sequence++
+	sequence := m.sequence
+	m.mu.Unlock()
+	var parts []Report
+	size := partBytes
 	for w, counts := range windows {
-		if known[w] == nil {
-			known[w] = make(Counts)
+		if w < current-reportedWindows {
+			continue
 		}
 		for team, n := range counts {
-			known[w][team] = max(known[w][team], n)
-		}
-	}
-}
-
-// Sum returns the counts of a window, summed over all incarnations.
-func (l *Ledger) Sum(w Window) Counts {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	sum := make(Counts)
-	for _, windows := range l.byIncarnation {
-		for team, n := range windows[w] {
-			sum[team] += n
-		}
-	}
-	return sum
-}
-
-// All returns a copy of all counts by incarnation, for merging into another VM's ledger.
-func (l *Ledger) All() map[string]map[Window]Counts {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	all := make(map[string]map[Window]Counts, len(l.byIncarnation))
-	for incarnation, windows := range l.byIncarnation {
-		all[incarnation] = make(map[Window]Counts, len(windows))
-		for w, counts := range windows {
-			all[incarnation][w] = maps.Clone(counts)
-		}
-	}
-	return all
-}
-
-// DropWindowsBefore removes the counts of windows before w.
-func (l *Ledger) DropWindowsBefore(w Window) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for incarnation, windows := range l.byIncarnation {
-		for old := range windows {
-			if old < w {
-				delete(windows, old)
+			if size += len(team) + countOverheadBytes; size > partBytes {
+				parts = append(parts, Report{Incarnation: incarnation, Sequence: sequence, Part: len(parts), Current: current, Counts: make(map[Window]Counts)})
+				size = len(team) + countOverheadBytes
 			}
-		}
-		if len(windows) == 0 {
-			delete(l.byIncarnation, incarnation)
-		}
-	}
-}
-
-// Earliest returns the earliest window with counts, and false if there is none.
-func (l *Ledger) Earliest() (Window, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var earliest Window
-	found := false
-	for _, windows := range l.byIncarnation {
-		for w := range windows {
-			if !found || w < earliest {
-				earliest, found = w, true
+			part := &parts[len(parts)-1]
+			if part.Counts[w] == nil {
+				part.Counts[w] = make(Counts)
 			}
+			part.Counts[w][team] = n
 		}
 	}
-	return earliest, found
+	if len(parts) == 0 {
+		parts = []Report{{Incarnation: incarnation, Sequence: sequence, Current: current}}
+	}
+	for i := range parts {
+		parts[i].Parts = len(parts)
+	}
+	return parts
 }
--- a/internal/metering/metering_test.go
+++ b/internal/metering/metering_test.go
@@ -23,9 +23,9 @@
 // incarnations.
 func TestLedgerSums(t *testing.T) {
 	l := NewLedger()
-	l.MergeCounts("a1", map[Window]Counts{7: {"t": 5}})
-	l.MergeCounts("a1", map[Window]Counts{7: {"t": 3}})
-	l.MergeCounts("a2", map[Window]Counts{7: {"t": 2, "u": 1}})
+	l.MergeCounts("a1", map[Window]Counts{7: {"t": 5}}, 0)
+	l.MergeCounts("a1", map[Window]Counts{7: {"t": 3}}, 0)
+	l.MergeCounts("a2", map[Window]Counts{7: {"t": 2, "u": 1}}, 0)
 	if sum := l.Sum(7); sum["t"] != 7 || sum["u"] != 1 {
 		t.Errorf("sum is %v", sum)
 	}
@@ -54,7 +54,7 @@
 			}}
 	}
 	first := NewLedger()
-	first.MergeCounts("a", map[Window]Counts{200: {"t": 5}})
+	first.MergeCounts("a", map[Window]Counts{200: {"t": 5}}, 0)
 	r := reporter(first)
 	if err := r.ReportEndedWindows(t.Context()); err != nil || len(sent) != 0 {
 		t.Fatalf("reported before the window's end: %v, %v", sent, err)
@@ -65,7 +65,7 @@
 	}
 	fail = false
 	second := NewLedger()
-	second.MergeCounts("a", map[Window]Counts{200: {"t": 9}})
+	second.MergeCounts("a", map[Window]Counts{200: {"t": 9}}, 0)
 	if err := reporter(second).ReportEndedWindows(t.Context()); err != nil {
 		t.Fatal(err)
 	}
@@ -92,7 +92,7 @@
 		meter := NewMeter(5*time.Second, time.Now)
 		ledger := NewLedger()
 		window := meter.Current()
-		ledger.MergeCounts("a", map[Window]Counts{window: {"t": 5}})
+		ledger.MergeCounts("a", map[Window]Counts{window: {"t": 5}}, 0)
 		time.Sleep(time.Until(meter.WindowEnd(window).Add(settleDelay)))
 		reported := Counts{}
 		r := &Reporter{Meter: meter, Ledger: ledger, Store: unacknowledgedWrites{memplatform.New()}, Now: time.Now, Log: zerolog.Nop(),
--- a/internal/metering/reporter.go
+++ b/internal/metering/reporter.go
@@ -16,8 +16,11 @@
 const KindSealedUsage = "crocusglade-usage"
 
 const (
-	// settleDelay is the time from the end of a window until its counts are sealed. The last counts of the other VMs arrive within it.
+	// settleDelay is the time from the end of a window until its counts are sealed. The final counts of the other VMs arrive within it.
 	settleDelay = 1500 * time.Millisecond
+	// lackingWaitFraction is the fraction of the time limit of a report after which the counts are sealed although some VM's final
+	// counts are unknown. The rest of the time is for reports that must be repeated.
+	lackingWaitFraction = 0.4
 	// reportTimeout bounds sealing and reporting one window, sealTimeout the write that seals it. If the response to the write is
 	// lost, enough time is left to read the sealed counts and report them.
 	reportTimeout = 1200 * time.Millisecond
@@ -34,7 +37,14 @@
 	Now func() time.Time
 	// Send reports the counts of a window to the platform.
 	Send func(ctx context.Context, w Window, counts Counts) error
-	Log  zerolog.Logger
+	// Limit is the time from the end of a window until its report is due.
+	Limit time.Duration
+	// Lacking returns the names of the VMs that may have served requests in a window and whose final counts are not in the ledger. It
+	// may fetch them. Nil means that the ledger is complete.
+	Lacking func(ctx context.Context, w Window) []string
+	// OnIncomplete is called for each window that is sealed without the final counts of some VMs. It may be nil.
+	OnIncomplete func(vms int)
+	Log          zerolog.Logger
 
 	// nextWindow is the next window to report, valid once started is true.
 	nextWindow Window
@@ -47,7 +57,15 @@
 	if !r.started && !r.findFirstWindow(now) {
 		return nil
 	}
+	if oldest := r.Meter.WindowAt(now) - ledgerWindows; r.nextWindow < oldest {
+		r.Log.Error().Int64("first", int64(r.nextWindow)).Int64("last", int64(oldest-1)).
+			Msg("usage windows are lost, because the platform was unavailable for too long")
+		r.nextWindow = oldest
+	}
 	for !now.Before(r.Meter.WindowEnd(r.nextWindow).Add(settleDelay)) {
+		if !r.complete(ctx, r.nextWindow, now) {
+			return nil
+		}
 		if err := r.report(ctx, r.nextWindow); err != nil {
 			return errors.Wrapf(err, "report usage of window %d", r.nextWindow)
 		}
@@ -56,6 +74,26 @@
 	return nil
 }
 
+// complete reports whether the counts of a window can be sealed: either the final counts of all VMs are known, or waiting any longer
+// would make the report late. It logs which VMs lack in that case.
+func (r *Reporter) complete(ctx context.Context, w Window, now time.Time) bool {
+	if r.Lacking == nil {
+		return true
+	}
+	lacking := r.Lacking(ctx, w)
+	if len(lacking) == 0 {
+		return true
+	}
+	if now.Before(r.Meter.WindowEnd(w).Add(time.Duration(lackingWaitFraction * float64(r.Limit)))) {
+		return false
+	}
+	r.Log.Warn().Int64("window", int64(w)).Strs("vms", lacking).Msg("usage is reported without the final counts of VMs")
+	if r.OnIncomplete != nil {
+		r.OnIncomplete(len(lacking))
+	}
+	return true
+}
+
 // findFirstWindow sets nextWindow to the earliest window with counts, but to none that other VMs may have dropped. It returns false
 // while there are no counts.
 func (r *Reporter) findFirstWindow(now time.Time) bool {
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sort"
-	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -15,7 +14,6 @@
 	"crocusglade.example/crocusglade/internal/lease"
 	"crocusglade.example/crocusglade/internal/metering"
 	"crocusglade.example/crocusglade/internal/roles"
-	"crocusglade.example/crocusglade/internal/vmlink"
 )
 
 // ErrNoEndpointAvailable means that the provider currently has no endpoint of the ordered kind.
@@ -84,7 +82,11 @@
 func (n *Node) runTerm(a *lease.Authority) {
 	ctx := a.Context()
 	n.log.Info().Uint64("fence", a.FencingToken()).Msg("duties lease acquired")
-	defer func() { n.log.Info().Uint64("fence", a.FencingToken()).Msg("duties lease released") }()
+	n.link.SetDutyToken(a.FencingToken())
+	defer func() {
+		n.link.SetDutyToken(0)
+		n.log.Info().Uint64("fence", a.FencingToken()).Msg("duties lease released")
+	}()
 	pause := takeoverPause(n.lastFencingToken, a.FencingToken(), n.Lease)
 	n.lastFencingToken = a.FencingToken()
 	if !ctxtime.Sleep(ctx, pause) {
@@ -92,11 +94,12 @@
 	}
 	n.fetchPeerLedgers(ctx)
 	duties := n.Adapter.Duties(a, n.VM)
-	reporter := &metering.Reporter{Meter: n.meter, Ledger: n.ledger, Store: n.Store, Now: n.medianClock.Now, Send: duties.ReportUsage, Log: n.log}
+	reporter := n.newUsageReporter(duties)
 	planner := newEndpointPlanner(n, duties)
 	var lastPlan time.Time
 	for ctxtime.Sleep(ctx, dutyInterval) && !n.draining.Load() {
-		n.ledger.MergeCounts(n.incarnation, n.meter.Recent())
+		counts, current := n.meter.Recent()
+		n.ledger.MergeCounts(n.incarnation, counts, current)
 		if n.ReportsUsage {
 			if err := reporter.ReportEndedWindows(ctx); err != nil {
 				n.log.Warn().Uint64("fence", a.FencingToken()).Err(err).Msg("usage report failed, retrying")
@@ -118,28 +121,6 @@
 	return time.Duration(takeoverPauseFraction * float64(lease))
 }
 
-// fetchPeerLedgers merges the usage ledgers of the other VMs, which include counts of VMs that have stopped or restarted. The calls
-// run concurrently, so that a VM that doesn't respond doesn't delay the others.
-func (n *Node) fetchPeerLedgers(ctx context.Context) {
-	var wg sync.WaitGroup
-	for _, vm := range n.link.LivePeers() {
-		wg.Go(func() { n.fetchPeerLedger(ctx, vm) })
-	}
-	wg.Wait()
-}
-
-// fetchPeerLedger merges the usage ledger of one VM. A failure is logged.
-func (n *Node) fetchPeerLedger(ctx context.Context, vm vmlink.PeerStatus) {
-	var ledger map[string]map[metering.Window]metering.Counts
-	if err := getFromVM(ctx, vm.LinkAddress, ledgerPath, &ledger); err != nil {
-		n.log.Warn().Str("peer", vm.Name).Err(err).Msg("reading the usage counts of a VM failed")
-		return
-	}
-	for incarnation, windows := range ledger {
-		n.ledger.MergeCounts(incarnation, windows)
-	}
-}
-
 // endpointPlanner orders endpoints and role changes during one term of the duties. Its maps are keyed by service.
 type endpointPlanner struct {
 	node          *Node
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -138,7 +138,7 @@
 	})
 	e.GET(relayPath+":kind", n.serveRelay)
 	e.GET(cachedPartsPath, n.serveCachedParts)
-	e.GET(ledgerPath, func(c echo.Context) error { return c.JSON(http.StatusOK, n.ledger.All()) })
+	e.GET(ledgerPath, func(c echo.Context) error { return c.JSON(http.StatusOK, n.ledger.Copy(n.incarnation, n.meter)) })
 	return e
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -98,6 +98,8 @@
 	watchCaches   map[string]*discovery.WatchCache
 	// lastFencingToken is the fencing token of this VM's last term of the duties; 0 before the first. Only the duties goroutine uses it.
 	lastFencingToken uint64
+	// incompleteWindows counts the usage windows that were reported without the final counts of some VM.
+	incompleteWindows atomic.Int64
 	// relayFailedAt holds the bootclock.Instant of the last failed read from another VM, by kind. storeFailedAt holds the same for
 	// reads from the store.
 	relayFailedAt, storeFailedAt sync.Map
@@ -122,6 +124,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := t.ObserveExchange(n.link.OmittedReads, n.incompleteWindows.Load); err != nil {
+		return nil, err
+	}
 	n.server = ingress.New(ingress.Config{Catalog: n.catalogHolder, Fleet: n.fleet, Backend: a.Backend, Usage: n.meter,
 		Budget: n.retryBudget, Quarantine: quarantine, Log: n.log, Observe: requestMetrics, OnMisdirected: n.link.AnnounceUnavailableEndpoint,
 		Ready:  func() bool { return n.catalogHolder.Current() != nil && n.registry.HasSynced() },
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -29,6 +29,8 @@
 	// Lease is the TTL of the duties lease. The platform treats calls of two holders that alternate within this time as a conflict.
 	Lease       time.Duration
 	UsageWindow time.Duration
+	// UsageLimit is the time from the end of a usage window until its report is due.
+	UsageLimit time.Duration
 	// DirectoryTTL is the longest TTL of directory responses that callers accept; 0 sets no limit.
 	DirectoryTTL time.Duration
 	// ReportsUsage and OrdersEndpoints enable the duties that this node performs.
--- a/internal/telemetry/requests.go
+++ b/internal/telemetry/requests.go
@@ -17,7 +17,20 @@
 
 // ObserveDroppedLines registers a function that returns the number of log lines dropped so far.
 func (t *Telemetry) ObserveDroppedLines(read func() int64) error {
-	_, err := t.meter.Int64ObservableCounter("log_lines_dropped", metric.WithDescription("Log lines dropped because standard output was too slow."),
+	return t.observeCounter("log_lines_dropped", "Log lines dropped because standard output was too slow.", read)
+}
+
+// ObserveExchange registers functions that return what was lost in the exchange between VMs so far: prompt reads that were left out of
+// status messages, and usage windows that were reported without the final counts of some VM.
+func (t *Telemetry) ObserveExchange(omittedReads, incompleteWindows func() int64) error {
+	if err := t.observeCounter("vm_prompt_reads_omitted", "Prompt reads left out of status messages that were too large.", omittedReads); err != nil {
+		return err
+	}
+	return t.observeCounter("usage_windows_incomplete", "Usage windows reported without the final counts of some VM.", incompleteWindows)
+}
+
+func (t *Telemetry) observeCounter(name, description string, read func() int64) error {
+	_, err := t.meter.Int64ObservableCounter(name, metric.WithDescription(description),
 		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
 			o.Observe(read())
 			return nil
--- a/internal/vmlink/link.go
+++ b/internal/vmlink/link.go
@@ -5,6 +5,7 @@
 	"net"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -25,11 +26,8 @@
 	// periodPerVM is added to the period for each further VM, so that the rate of datagrams stays bounded: a VM sends and receives
 	// about 270 datagrams a second with 33 VMs, and never more than about 500.
 	periodPerVM = 2 * time.Millisecond
-	// One in datagramsPerUsage datagrams carries usage counts, and one in datagramsPerEcho carries echoes.
-	datagramsPerUsage = 4
-	datagramsPerEcho  = 4
-	// usageReceivers is the number of VMs, the first ones by name, that receive usage counts. They compete for the duties lease first.
-	usageReceivers = 5
+	// One in datagramsPerEcho datagrams carries echoes.
+	datagramsPerEcho = 4
 	// silentPeriods is the number of periods without a datagram after which a VM no longer counts as live. The time is at least
 	// minSilentTime.
 	silentPeriods = 8
@@ -38,8 +36,6 @@
 	peerExpiry = 20 * time.Second
 	// maxDatagramBytes bounds the payload of a UDP datagram.
 	maxDatagramBytes = 65000
-	// sentWindows is the number of usage windows before the current one whose counts are sent.
-	sentWindows = 3
 	// maxMessageReads bounds the prompt reads in one datagram.
 	maxMessageReads = 256
 )
@@ -84,6 +80,8 @@
 	ConfirmedMS int64
 	// Revision is the store's revision of the VM's configuration.
 	Revision uint64
+	// DutyToken is the fencing token of the duties lease if the VM holds it, 0 otherwise.
+	DutyToken uint64
 }
 
 // Link exchanges status messages with all other VMs. Its methods may be called concurrently.
@@ -98,6 +96,10 @@
 	unavailable  map[string]bootclock.Instant
 	messageCount int
 	conn         net.PacketConn
+	// dutyToken is the fencing token of the duties lease while this VM holds it, 0 otherwise.
+	dutyToken uint64
+	// omittedReads counts the prompt reads that were left out of messages, which were too large with them.
+	omittedReads atomic.Int64
 }
 
 // New returns a link. It sends and receives nothing before Run.
@@ -143,24 +145,13 @@
 	return p
 }
 
-// lastUsageReceiverLocked returns the greatest name among the first usageReceivers names of live VMs, this VM included.
-func (l *Link) lastUsageReceiverLocked() string {
-	names := []string{l.VM}
-	for _, p := range l.peers {
-		if p.live {
-			names = append(names, p.status.Name)
-		}
-	}
-	sort.Strings(names)
-	return names[min(len(names), usageReceivers)-1]
-}
-
 // AnnounceDrain notifies the other VMs immediately that this VM accepts no new callers.
 func (l *Link) AnnounceDrain() {
 	l.mu.Lock()
 	l.draining = true
 	l.mu.Unlock()
 	l.broadcast()
+	l.sendUsage()
 }
 
 // AnnounceUnavailableEndpoint notifies the other VMs immediately that an endpoint takes no work for the duration d, because it
@@ -189,6 +180,7 @@
 	l.conn = conn
 	l.mu.Unlock()
 	go l.sendLoop(ctx)
+	go l.usageLoop(ctx)
 	buf := make([]byte, maxDatagramBytes+1)
 	for {
 		n, from, err := conn.ReadFrom(buf)
@@ -224,52 +216,39 @@
 	if conn == nil || len(targets) == 0 {
 		return
 	}
-	usage := msg.Usage
-	msg.Usage = nil
-	withoutUsage, ok := l.encodeMessage(msg)
+	data, ok := l.encodeMessage(msg)
 	if !ok {
 		return
 	}
-	withUsage := withoutUsage
-	if msg.Usage = usage; usage != nil {
-		if withUsage, ok = l.encodeMessage(msg); !ok {
-			return
-		}
-	}
 	for _, t := range targets {
-		data := withoutUsage
-		if t.withUsage {
-			data = withUsage
-		}
-		_, _ = conn.WriteTo(data, t.addr) // the next datagram replaces a lost one
+		_, _ = conn.WriteTo(data, t) // the next datagram replaces a lost one
 	}
 }
 
-// encodeMessage encodes a message as a datagram. Prompt reads and usage counts, the largest parts, are left out if the message is too
-// large: usage counts are sent again, and a missing prompt read costs at most a cache transfer.
+// encodeMessage encodes a message as a datagram. Prompt reads, the largest part, are left out if the message is too large: a missing one
+// costs at most a cache transfer.
 func (l *Link) encodeMessage(msg *StatusMessage) ([]byte, bool) {
 	data, err := cbor.Marshal(msg)
 	if err == nil && len(data) > maxDatagramBytes {
-		msg.Reads, msg.Usage = nil, nil
+		if l.omittedReads.Add(int64(len(msg.Reads))) == int64(len(msg.Reads)) {
+			l.Log.Warn().Int("bytes", len(data)).Int("reads", len(msg.Reads)).Msg("status message is too large, leaving out prompt reads (logged once)")
+		}
+		msg.Reads = nil
 		data, err = cbor.Marshal(msg)
 	}
-	if err != nil {
-		l.Log.Error().Err(err).Msg("encoding the status message failed")
+	if err != nil || len(data) > maxDatagramBytes {
+		l.Log.Error().Int("bytes", len(data)).Err(err).Msg("encoding the status message failed")
 		return nil, false
 	}
 	return data, true
 }
 
-// target is a VM that a message is sent to.
-type target struct {
-	addr *net.UDPAddr
-	// withUsage is true for VMs that receive usage counts.
-	withUsage bool
-}
+// OmittedReads returns the number of prompt reads that were left out of status messages because these were too large.
+func (l *Link) OmittedReads() int64 { return l.omittedReads.Load() }
 
 // buildMessage returns this VM's status message and its targets. It removes peers and unavailable endpoints that have expired. The
 // connection is nil before Run.
-func (l *Link) buildMessage() (*StatusMessage, []target, net.PacketConn) {
+func (l *Link) buildMessage() (*StatusMessage, []net.Addr, net.PacketConn) {
 	work, reads := l.Fleet.CollectWork()
 	if len(reads) > maxMessageReads {
 		reads = reads[len(reads)-maxMessageReads:]
@@ -277,16 +256,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	msg := &StatusMessage{VM: l.VM, Incarnation: l.Incarnation, Domain: l.Domain, Front: l.CallerAddress, Link: l.LinkAddress,
-		Draining: l.draining, Work: encodeWork(work), Reads: EncodeReads(reads), Demand: l.Fleet.MeasureDemand(),
+		Draining: l.draining, DutyToken: l.dutyToken, Work: encodeWork(work), Reads: EncodeReads(reads), Demand: l.Fleet.MeasureDemand(),
 		Unreachable: encodeUnreachable(l.Fleet.UnreachableEndpoints()), ConfirmedMS: -1}
 	for fingerprint := range l.Quarantine.Entries() {
 		msg.Quarantined = append(msg.Quarantined, fingerprint)
 	}
-	if l.messageCount%datagramsPerUsage == 0 || l.draining {
-		windows := l.Meter.Recent()
-		l.Ledger.MergeCounts(l.Incarnation, windows)
-		msg.Usage = encodeUsage(windows, l.Meter.Current()-sentWindows)
-	}
 	l.messageCount++
 	now := bootclock.Now()
 	msg.UnavailableEndpoints = make(map[string]int64, len(l.unavailable))
@@ -300,14 +274,13 @@
 	if l.messageCount%datagramsPerEcho == 0 {
 		msg.Echo = make(map[string]int64, len(l.peers))
 	}
-	lastReceiver := l.lastUsageReceiverLocked()
-	targets := make([]target, 0, len(l.peers))
+	targets := make([]net.Addr, 0, len(l.peers))
 	for address, p := range l.peers {
 		if !p.listed && now.Sub(p.receivedAt) > peerExpiry && p.receivedAt != 0 {
 			delete(l.peers, address)
 			continue
 		}
-		targets = append(targets, target{addr: p.addr, withUsage: p.status.Name == "" || p.status.Name <= lastReceiver})
+		targets = append(targets, p.addr)
 		if p.lastSentAt != 0 && msg.Echo != nil {
 			msg.Echo[p.status.Incarnation] = p.lastSentAt
 		}
@@ -325,6 +298,10 @@
 
 // receive decodes and applies a status message of another VM. It ignores this VM's own messages and those older than the newest one.
 func (l *Link) receive(ctx context.Context, data []byte, from net.Addr) {
+	if len(data) > 0 && data[0] == usageDatagram {
+		l.receiveUsage(data, from)
+		return
+	}
 	var msg StatusMessage
 	if err := cbor.Unmarshal(data, &msg); err != nil {
 		l.Log.Warn().Str("from", from.String()).Err(err).Msg("decoding a datagram failed")
@@ -342,7 +319,7 @@
 	wasLive := p.live
 	p.receivedAt, p.lastSentAt, p.live = bootclock.Now(), msg.SentAt, true
 	p.status = PeerStatus{Name: msg.VM, Incarnation: msg.Incarnation, Domain: msg.Domain, CallerAddress: msg.Front, LinkAddress: msg.Link, Serving: msg.Serving,
-		Draining: msg.Draining, ConfirmedMS: msg.ConfirmedMS, Revision: msg.Revision}
+		Draining: msg.Draining, ConfirmedMS: msg.ConfirmedMS, Revision: msg.Revision, DutyToken: msg.DutyToken}
 	l.mu.Unlock()
 	if !wasLive {
 		l.Log.Info().Str("dependency", "vm").Str("peer", msg.VM).Str("incarnation", msg.Incarnation).Msg("dependency regained")
@@ -354,9 +331,6 @@
 		l.Fleet.Avoid(id, time.Duration(ms)*time.Millisecond)
 	}
 	l.MedianClock.RecordPeerEstimate(msg.VM, time.UnixMilli(msg.EstimatedTimeMS))
-	if len(msg.Usage) > 0 {
-		l.Ledger.MergeCounts(msg.Incarnation, decodeUsage(msg.Usage))
-	}
 	for _, fingerprint := range msg.Quarantined {
 		if !l.Quarantine.Blocked(fingerprint) {
 			l.Quarantine.Add(fingerprint, time.Minute)
@@ -423,12 +397,15 @@
 func (l *Link) silentTimeout() time.Duration { return max(l.period()*silentPeriods, minSilentTime) }
 
 // LivePeers returns the status of the other VMs that are live, ordered by name.
-func (l *Link) LivePeers() []PeerStatus {
+func (l *Link) LivePeers() []PeerStatus { return l.selectPeers(func(p *peer) bool { return p.live }) }
+
+// selectPeers returns the status of the peers for which accept returns true, ordered by name.
+func (l *Link) selectPeers(accept func(*peer) bool) []PeerStatus {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var list []PeerStatus
 	for _, p := range l.peers {
-		if p.live {
+		if p.receivedAt != 0 && accept(p) {
 			list = append(list, p.status)
 		}
 	}
--- a/internal/vmlink/message.go
+++ b/internal/vmlink/message.go
@@ -1,14 +1,13 @@
 // Package vmlink exchanges status messages between the VMs of a deployment: whether a VM serves, which configuration it has and how
 // recently that was confirmed, its work at the endpoints, and its usage counts.
 //
-// A StatusMessage is sent as a UDP datagram, because each one replaces the one before: the next datagram makes up for a lost one, and
-// a VM that doesn't respond blocks no other.
+// A StatusMessage and a UsageMessage are sent as UDP datagrams, because each one replaces the one before: the next datagram makes up for
+// a lost one, and a VM that doesn't respond blocks no other.
 package vmlink
 
 import (
 	"time"
 
-	"crocusglade.example/crocusglade/internal/metering"
 	"crocusglade.example/crocusglade/internal/placement"
 )
 
@@ -37,8 +36,8 @@
 	// Work is the sender's unfinished work by endpoint, Reads the prompts that it sent to engines since its last message.
 	Work  map[string]EndpointWork `cbor:"13,keyasint,omitempty"`
 	Reads []EndpointCachedPrefix  `cbor:"14,keyasint,omitempty"`
-	// Usage holds the sender's request counts by usage window and team.
-	Usage map[int64]map[string]int `cbor:"15,keyasint,omitempty"`
+	// DutyToken is the fencing token of the duties lease if the sender holds it.
+	DutyToken uint64 `cbor:"20,keyasint,omitempty"`
 	// Quarantined holds the fingerprints of the requests in quarantine.
 	Quarantined []uint64 `cbor:"16,keyasint,omitempty"`
 	// UnavailableEndpoints holds the endpoints that temporarily take no work, with the remaining time in milliseconds.
@@ -124,31 +123,3 @@
 	}
 	return out
 }
-
-// encodeUsage converts the counts of the windows from the given one to their wire format.
-func encodeUsage(windows map[metering.Window]metering.Counts, from metering.Window) map[int64]map[string]int {
-	out := make(map[int64]map[string]int, len(windows))
-	for w, counts := range windows {
-		if w < from {
-			continue
-		}
-		teams := make(map[string]int, len(counts))
-		for team, n := range counts {
-			teams[team] = int(n)
-		}
-		out[int64(w)] = teams
-	}
-	return out
-}
-
-func decodeUsage(windows map[int64]map[string]int) map[metering.Window]metering.Counts {
-	out := make(map[metering.Window]metering.Counts, len(windows))
-	for w, teams := range windows {
-		counts := make(metering.Counts, len(teams))
-		for team, n := range teams {
-			counts[team] = uint64(max(n, 0))
-		}
-		out[metering.Window(w)] = counts
-	}
-	return out
-}
