A stopping VM refuses requests that it may not complete

When all VMs are stopped within a second, callers have no other address, so requests kept arriving and those of the last seconds were cut off.

Ruled out: a directory that lists draining VMs (it doesn't; callers keep what they have when a response lists none), an early SIGKILL.

Change: from 3 s after the start of a drain, a request whose time limit exceeds the time until the VM stops gets 503 with Retry-After; it has not run.

--- a/internal/ingress/call_test.go
+++ b/internal/ingress/call_test.go
@@ -7,11 +7,29 @@
 
 	"github.com/go-faster/errors"
 
+	"crocusglade.example/crocusglade/internal/apierror"
 	"crocusglade.example/crocusglade/internal/catalog"
 	"crocusglade.example/crocusglade/internal/placement"
 	"crocusglade.example/crocusglade/internal/upstream"
 )
 
+// Guards against a request that is accepted by a VM which stops before the request's time limit, and cut off then (seen when all VMs are
+// stopped at the same time, so that callers have no other address).
+func TestStoppingVMRefusesLongRequests(t *testing.T) {
+	s := &Server{Config: Config{TimeToStop: func() (time.Duration, bool) { return 2 * time.Second, true }}}
+	for timeout, refused := range map[time.Duration]bool{time.Second: false, 5 * time.Second: true} {
+		c := &call{Server: s, r: &Request{Timeout: timeout}, route: &catalog.Route{}}
+		err := c.stopRefusal()
+		if (err != nil) != refused || err != nil && err.Kind != apierror.Unavailable {
+			t.Errorf("time limit %v: %v", timeout, err)
+		}
+	}
+	s.TimeToStop = func() (time.Duration, bool) { return 0, false }
+	if err := (&call{Server: s, r: &Request{}, route: &catalog.Route{}}).stopRefusal(); err != nil {
+		t.Errorf("a VM that doesn't stop refuses: %v", err)
+	}
+}
+
 // Guards against a limit of 30 s for callers that send none where the route allows more: their requests ended early.
 func TestTimeLimit(t *testing.T) {
 	for name, c := range map[string]struct{ caller, route, want time.Duration }{
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -141,6 +141,8 @@
 	Ready func() bool
 	// Bounds returns the current bounds of the deployment. They may change.
 	Bounds func() Bounds
+	// TimeToStop returns the time until this VM stops serving, and false while it accepts all requests. Nil means that it never stops.
+	TimeToStop func() (time.Duration, bool)
 }
 
 // Bounds are the times within which a configuration change must take effect: RevokeBound for withdrawn keys, ApplyBound for all other
@@ -185,8 +187,10 @@
 	// often a request checks for them.
 	startupGrace        = 400 * time.Millisecond
 	startupPollInterval = 5 * time.Millisecond
-	// retryAfterUnready is the Retry-After time while the configuration is missing or possibly outdated.
-	retryAfterUnready = 300 * time.Millisecond
+	// retryAfterUnready is the Retry-After time while the configuration is missing or possibly outdated, retryAfterStopping that of a VM
+	// that stops too soon to complete the request.
+	retryAfterUnready  = 300 * time.Millisecond
+	retryAfterStopping = 100 * time.Millisecond
 )
 
 // call is one request in progress.
@@ -285,6 +289,9 @@
 	if team.HasPriority {
 		c.priority = team.Priority
 	}
+	if refusal := c.stopRefusal(); refusal != nil {
+		return refusal, retryAfterStopping
+	}
 	c.service = c.route.PickService(c.nextPick())
 	c.deadline = c.r.Arrived.Add(c.timeLimit())
 	c.fingerprint = retry.Fingerprint(c.team, c.route.Name+"\x00"+c.r.Target, c.r.Body)
@@ -296,6 +303,18 @@
 	return nil, 0
 }
 
+// stopRefusal returns an error if this VM may stop before the request's time limit. The response would be cut off then, which doesn't
+// tell the caller whether the request has run.
+func (c *call) stopRefusal() *apierror.Error {
+	if c.TimeToStop == nil {
+		return nil
+	}
+	if left, stopping := c.TimeToStop(); stopping && c.timeLimit() > left {
+		return apierror.New(apierror.Unavailable, "retry at another address", "this VM stops in %d ms", left.Milliseconds())
+	}
+	return nil
+}
+
 // denial returns the error for a request that the configuration does not allow. If the configuration may be outdated, it is an Unavailable
 // error, because a newer configuration may allow the request.
 func (c *call) denial(age time.Duration, kind apierror.Kind, remedy, message string) (*apierror.Error, time.Duration) {
--- a/internal/node/caller_server.go
+++ b/internal/node/caller_server.go
@@ -25,6 +25,8 @@
 	// minDrainTime is how long a draining VM keeps serving, so that callers that hold its address learn other addresses first. It
 	// is more than three lifetimes of a directory response.
 	minDrainTime = 4 * time.Second
+	// drainAcceptTime is how long a draining VM accepts all requests. After it, requests that may last until the VM stops are refused.
+	drainAcceptTime = 3 * time.Second
 	// shutdownReserve is the part of the grace period that is reserved for closing connections.
 	shutdownReserve = 700 * time.Millisecond
 	// pollInterval is the time between checks while waiting for the drain or for the first engines.
@@ -58,6 +60,7 @@
 
 func (n *Node) drainCallerServer(ctx context.Context, server *http.Server) error {
 	started := time.Now()
+	n.drainStartedAt.Store(&started)
 	n.draining.Store(true)
 	n.link.AnnounceDrain()
 	maxDrainTime := n.Grace - shutdownReserve
@@ -71,3 +74,12 @@
 	defer cancel()
 	return server.Shutdown(shutdownCtx)
 }
+
+// timeToStop returns the time until a draining VM stops serving, and false while the VM accepts all requests.
+func (n *Node) timeToStop() (time.Duration, bool) {
+	started := n.drainStartedAt.Load()
+	if started == nil || time.Since(*started) < drainAcceptTime {
+		return 0, false
+	}
+	return time.Until(started.Add(n.Grace - shutdownReserve)), true
+}
--- a/internal/node/duties_test.go
+++ b/internal/node/duties_test.go
@@ -24,3 +24,20 @@
 		}
 	}
 }
+
+// Guards against requests that a stopping VM accepts and then cuts off: after the first seconds of a drain the server is told how long
+// the VM still serves.
+func TestTimeToStop(t *testing.T) {
+	n := &Node{Settings: Settings{Grace: 8 * time.Second}}
+	if left, stopping := n.timeToStop(); stopping {
+		t.Errorf("before the drain: stops in %v", left)
+	}
+	for since, want := range map[time.Duration]time.Duration{time.Second: 0, 4 * time.Second: 3300 * time.Millisecond, 7 * time.Second: 300 * time.Millisecond} {
+		started := time.Now().Add(-since)
+		n.drainStartedAt.Store(&started)
+		left, stopping := n.timeToStop()
+		if stopping != (want > 0) || stopping && (left-want).Abs() > 100*time.Millisecond {
+			t.Errorf("%v after the start of the drain: stops in %v (%v), want %v", since, left, stopping, want)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -94,8 +94,10 @@
 	retryBudget   *retry.WindowBudget
 	bounds        atomic.Pointer[ingress.Bounds]
 	draining      atomic.Bool
-	startedAt     time.Time
-	watchCaches   map[string]*discovery.WatchCache
+	// drainStartedAt is nil until the drain starts.
+	drainStartedAt atomic.Pointer[time.Time]
+	startedAt      time.Time
+	watchCaches    map[string]*discovery.WatchCache
 	// lastFencingToken is the fencing token of this VM's last term of the duties; 0 before the first. Only the duties goroutine uses it.
 	lastFencingToken uint64
 	// incompleteWindows counts the usage windows that were reported without the final counts of some VM.
@@ -130,7 +132,7 @@
 	n.server = ingress.New(ingress.Config{Catalog: n.catalogHolder, Fleet: n.fleet, Backend: a.Backend, Usage: n.meter,
 		Budget: n.retryBudget, Quarantine: quarantine, Log: n.log, Observe: requestMetrics, OnMisdirected: n.link.AnnounceUnavailableEndpoint,
 		Ready:  func() bool { return n.catalogHolder.Current() != nil && n.registry.HasSynced() },
-		Bounds: func() ingress.Bounds { return *n.bounds.Load() }})
+		Bounds: func() ingress.Bounds { return *n.bounds.Load() }, TimeToStop: n.timeToStop})
 	return n, nil
 }
 
