metering: an incomplete window is counted once; plainer names

Cause: a window without the final counts of some VM was logged and counted at each repetition of its report.

Change: it is logged and counted once. "Lacking" is MissingVMs now. Tests for the wait for final counts, and for windows that a ledger no longer holds.

--- a/internal/metering/metering_test.go
+++ b/internal/metering/metering_test.go
@@ -105,3 +105,64 @@
 		}
 	})
 }
+
+// Guards against a window that is reported before the final counts of a VM have arrived although there is time, against one that is never
+// reported because they don't arrive, and against one that is counted as incomplete at each repetition of its report.
+func TestWaitsForFinalCounts(t *testing.T) {
+	c := &clock{now: time.Unix(1000, 0)}
+	meter := NewMeter(5*time.Second, c.read)
+	ledger := NewLedger()
+	ledger.MergeCounts("a", map[Window]Counts{200: {"t": 5}}, 0)
+	sends, incomplete, fail := 0, 0, true
+	r := &Reporter{Meter: meter, Ledger: ledger, Store: memplatform.New(), Now: c.read, Limit: 10 * time.Second, Log: zerolog.Nop(),
+		MissingVMs:   func(context.Context, Window) []string { return []string{"vm-b"} },
+		OnIncomplete: func(int) { incomplete++ },
+		Send: func(context.Context, Window, Counts) error {
+			sends++
+			if fail {
+				return errors.New("no response")
+			}
+			return nil
+		}}
+	for _, step := range []struct {
+		after time.Duration
+		sends int
+	}{{7 * time.Second, 0}, {8900 * time.Millisecond, 0}, {9100 * time.Millisecond, 1}, {9300 * time.Millisecond, 2}} {
+		c.now = time.Unix(1000, 0).Add(step.after)
+		if err := r.ReportEndedWindows(t.Context()); (err != nil) != (step.sends > 0) || sends != step.sends {
+			t.Errorf("after %v: %d reports sent, want %d; %v", step.after, sends, step.sends, err)
+		}
+	}
+	fail = false
+	if err := r.ReportEndedWindows(t.Context()); err != nil || incomplete != 1 {
+		t.Errorf("counted as incomplete %d times, %v", incomplete, err)
+	}
+}
+
+// Guards against empty counts that are reported for windows whose counts a ledger no longer holds, after a long outage of the platform.
+func TestLostWindowsAreNotReportedAsEmpty(t *testing.T) {
+	c := &clock{now: time.Unix(1000, 0)}
+	meter := NewMeter(5*time.Second, c.read)
+	ledger := NewLedger()
+	ledger.MergeCounts("a", map[Window]Counts{200: {"t": 1}}, 0)
+	down, earliest := true, Window(0)
+	r := &Reporter{Meter: meter, Ledger: ledger, Store: memplatform.New(), Now: c.read, Log: zerolog.Nop(),
+		Send: func(_ context.Context, w Window, _ Counts) error {
+			if down {
+				return errors.New("down")
+			}
+			if earliest == 0 {
+				earliest = w
+			}
+			return nil
+		}}
+	c.now = c.now.Add(7 * time.Second)
+	if err := r.ReportEndedWindows(t.Context()); err == nil {
+		t.Error("no error while the platform is down")
+	}
+	c.now = c.now.Add(500 * time.Second)
+	down = false
+	if err := r.ReportEndedWindows(t.Context()); err != nil || earliest != meter.Current()-ledgerWindows {
+		t.Errorf("the earliest window reported is %d, want %d; %v", earliest, meter.Current()-ledgerWindows, err)
+	}
+}
--- a/internal/metering/reporter.go
+++ b/internal/metering/reporter.go
@@ -18,9 +18,9 @@
 const (
 	// settleDelay is the time from the end of a window until its counts are sealed. The final counts of the other VMs arrive within it.
 	settleDelay = 1500 * time.Millisecond
-	// lackingWaitFraction is the fraction of the time limit of a report after which the counts are sealed although some VM's final
+	// missingWaitFraction is the fraction of the time limit of a report after which the counts are sealed although some VM's final
 	// counts are unknown. The rest of the time is for reports that must be repeated.
-	lackingWaitFraction = 0.4
+	missingWaitFraction = 0.4
 	// reportTimeout bounds sealing and reporting one window, sealTimeout the write that seals it. If the response to the write is
 	// lost, enough time is left to read the sealed counts and report them.
 	reportTimeout = 1200 * time.Millisecond
@@ -39,16 +39,18 @@
 	Send func(ctx context.Context, w Window, counts Counts) error
 	// Limit is the time from the end of a window until its report is due.
 	Limit time.Duration
-	// Lacking returns the names of the VMs that may have served requests in a window and whose final counts are not in the ledger. It
+	// MissingVMs returns the names of the VMs that may have served requests in a window and whose final counts are not in the ledger. It
 	// may fetch them. Nil means that the ledger is complete.
-	Lacking func(ctx context.Context, w Window) []string
-	// OnIncomplete is called for each window that is sealed without the final counts of some VMs. It may be nil.
+	MissingVMs func(ctx context.Context, w Window) []string
+	// OnIncomplete is called once for each window that is sealed without the final counts of some VMs. It may be nil.
 	OnIncomplete func(vms int)
 	Log          zerolog.Logger
 
 	// nextWindow is the next window to report, valid once started is true.
 	nextWindow Window
 	started    bool
+	// incompleteWindow is the last window that was sealed without the final counts of some VMs.
+	incompleteWindow Window
 }
 
 // ReportEndedWindows seals and reports the windows that have ended. It is called periodically, and retries a window that failed before.
@@ -75,21 +77,25 @@
 }
 
 // complete reports whether the counts of a window can be sealed: either the final counts of all VMs are known, or waiting any longer
-// would make the report late. It logs which VMs lack in that case.
+// would make the report late. In that case it logs which VMs' counts are missing.
 func (r *Reporter) complete(ctx context.Context, w Window, now time.Time) bool {
-	if r.Lacking == nil {
+	if r.MissingVMs == nil {
 		return true
 	}
-	lacking := r.Lacking(ctx, w)
-	if len(lacking) == 0 {
+	missing := r.MissingVMs(ctx, w)
+	if len(missing) == 0 {
 		return true
 	}
-	if now.Before(r.Meter.WindowEnd(w).Add(time.Duration(lackingWaitFraction * float64(r.Limit)))) {
+	if now.Before(r.Meter.WindowEnd(w).Add(time.Duration(missingWaitFraction * float64(r.Limit)))) {
 		return false
 	}
-	r.Log.Warn().Int64("window", int64(w)).Strs("vms", lacking).Msg("usage is reported without the final counts of VMs")
+	if r.incompleteWindow == w {
+		return true // a report that failed is repeated
+	}
+	r.incompleteWindow = w
+	r.Log.Warn().Int64("window", int64(w)).Strs("vms", missing).Msg("usage is reported without the final counts of VMs")
 	if r.OnIncomplete != nil {
-		r.OnIncomplete(len(lacking))
+		r.OnIncomplete(len(missing))
 	}
 	return true
 }
--- a/internal/node/usage.go
+++ b/internal/node/usage.go
@@ -20,7 +20,7 @@
 // newUsageReporter returns the reporter for one term of the duties.
 func (n *Node) newUsageReporter(d Duties) *metering.Reporter {
 	return &metering.Reporter{Meter: n.meter, Ledger: n.ledger, Store: n.Store, Now: n.medianClock.Now, Send: d.ReportUsage, Limit: n.UsageLimit,
-		Lacking: n.fetchFinalCounts, OnIncomplete: func(int) { n.incompleteWindows.Add(1) }, Log: n.log}
+		MissingVMs: n.fetchFinalCounts, OnIncomplete: func(int) { n.incompleteWindows.Add(1) }, Log: n.log}
 }
 
 // fetchFinalCounts reads the final counts for a window of the VMs that may have served requests in it and have not reported them, and
@@ -28,21 +28,21 @@
 // there is.
 func (n *Node) fetchFinalCounts(ctx context.Context, w metering.Window) []string {
 	sinceStart := n.medianClock.Now().Sub(n.meter.WindowStart(w))
-	var lacking []vmlink.PeerStatus
+	var missing []vmlink.PeerStatus
 	for _, vm := range n.link.PeersSince(bootclock.Now().Add(-sinceStart)) {
 		if !n.ledger.HasFinalCounts(vm.Incarnation, w) {
-			lacking = append(lacking, vm)
+			missing = append(missing, vm)
 		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, finalCountsTimeout)
 	defer cancel()
-	known := make([]bool, len(lacking))
-	n.forEachVM(lacking, func(i int, vm vmlink.PeerStatus) {
+	known := make([]bool, len(missing))
+	n.forEachVM(missing, func(i int, vm vmlink.PeerStatus) {
 		incarnation, err := n.fetchLedger(ctx, vm)
 		known[i] = errors.Is(err, syscall.ECONNREFUSED) || err == nil && incarnation != vm.Incarnation || n.ledger.HasFinalCounts(vm.Incarnation, w)
 	})
 	var names []string
-	for i, vm := range lacking {
+	for i, vm := range missing {
 		if !known[i] {
 			names = append(names, vm.Name)
 		}
--- a/internal/vmlink/usage_test.go
+++ b/internal/vmlink/usage_test.go
@@ -88,8 +88,8 @@
 	}
 }
 
-// lacking returns the VMs whose final counts for a window a holder can't get, after fetching those that it can.
-func (f *usageFleet) lacking(holder *usageVM, w metering.Window) []string {
+// missing returns the VMs whose final counts for a window a holder can't get, after fetching those that it can.
+func (f *usageFleet) missing(holder *usageVM, w metering.Window) []string {
 	var names []string
 	for _, vm := range f.vms {
 		if vm == holder || vm.startAt.After(f.now) || holder.Ledger.HasFinalCounts(vm.Incarnation, w) {
@@ -111,7 +111,7 @@
 		}
 	}
 	return &metering.Reporter{Meter: holder.Meter, Ledger: holder.Ledger, Store: f.store, Now: func() time.Time { return f.now }, Limit: 10 * time.Second,
-		Lacking: func(_ context.Context, w metering.Window) []string { return f.lacking(holder, w) }, Log: zerolog.New(&f.logs),
+		MissingVMs: func(_ context.Context, w metering.Window) []string { return f.missing(holder, w) }, Log: zerolog.New(&f.logs),
 		Send: func(_ context.Context, w metering.Window, counts metering.Counts) error {
 			f.reported[w] = counts
 			return nil
