upstream: a response may be closed during a read

Cause: the body of a refusal is read for 50 ms at most; the timer closes the response while another goroutine may be at its end, and both used a plain flag. Found by reading.

Change: the flag is atomic.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -85,7 +86,7 @@
 	conn      *conn
 	client    *Client
 	closeOnce sync.Once
-	complete  bool
+	complete  atomic.Bool
 	// selfDelimited is true if the connection stays open after the response: it has a length or is chunked, and doesn't announce the
 	// close of the connection.
 	selfDelimited bool
@@ -311,16 +312,17 @@
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
 	if err == io.EOF {
-		r.complete = true
+		r.complete.Store(true)
 	}
 	return n, err
 }
 
-// Close returns the connection to the idle ones after a complete response, if it can be reused, and resets it otherwise.
+// Close returns the connection to the idle ones after a complete response, if it can be reused, and resets it otherwise. It may be called
+// during a Read, which fails then.
 func (r *Response) Close() error {
 	r.closeOnce.Do(func() {
 		detached := r.detachContext()
-		if detached && r.complete && r.selfDelimited && r.conn.reusable(r.Header) {
+		if detached && r.complete.Load() && r.selfDelimited && r.conn.reusable(r.Header) {
 			r.client.putIdle(r.conn)
 			return
 		}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -304,3 +304,31 @@
 		}
 	}
 }
+
+// Guards against a body that is read for as long as the endpoint sends bytes: closing the response from another goroutine ends the Read and
+// resets the connection.
+func TestCloseDuringRead(t *testing.T) {
+	closed := make(chan error, 1)
+	addr := startServer(t, func(_ int, c *net.TCPConn, br *bufio.Reader) {
+		id, _, _ := readRequest(br)
+		_, err := fmt.Fprintf(c, "HTTP/1.1 503 Full\r\n%s: %s\r\n\r\n", idHeader, id)
+		for err == nil {
+			time.Sleep(5 * time.Millisecond)
+			_, err = c.Write([]byte("x"))
+		}
+		closed <- err
+	})
+	client := New(idHeader)
+	resp, err := client.Do(t.Context(), addr, newRequest("1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.AfterFunc(50*time.Millisecond, func() { _ = resp.Close() })
+	if _, err := io.Copy(io.Discard, resp); err == nil {
+		t.Error("the response counts as complete")
+	}
+	<-closed
+	if len(client.idle[addr]) != 0 {
+		t.Error("the connection is idle and reusable")
+	}
+}
