ingress: a request's log line names the shared prompt parts after a crash

A request that was in progress at a crashed endpoint didn't say what it shared with other such requests, or whether the endpoint had begun its answer. So the log couldn't tell the cause of a crash from requests that were only there at the time. The line has the shared parts now, and the number of events that had arrived.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -219,6 +219,8 @@
 	// mayHaveRun is set once an endpoint may have started to run the request.
 	mayHaveRun   bool
 	usageCounted bool
+	// events scans the stream of the current exchange with an engine.
+	events eventScanner
 	// reservedBytes is the part of bufferedBytes that belongs to this request.
 	reservedBytes int
 	// firstResponseAfter is the time from the request's arrival to the first part of its response; 0 before there is one.
@@ -230,6 +232,8 @@
 	predicted       time.Duration
 	prefillTokens   int
 	fetchedCache    bool
+	// sawCrash is set once an endpoint crashed while the request was in progress there.
+	sawCrash bool
 }
 
 // Serve handles one request. ctx must be cancelled when the caller disconnects.
@@ -424,7 +428,11 @@
 		version = cat.Version
 	}
 	c.Observe.Finished(name, outcome, total, c.firstResponseAfter)
-	c.Log.Info().Str("request", c.r.ID).Str("route", name).Str("service", c.service).Str("team", c.team).
+	line := c.Log.Info()
+	if c.sawCrash && c.r.Prompt != nil {
+		line = line.Strs("shared_parts", c.r.Prompt.SharedPartIDs())
+	}
+	line.Str("request", c.r.ID).Str("route", name).Str("service", c.service).Str("team", c.team).
 		Str("endpoint", c.endpoint).Str("reader", c.prefillEndpoint).Int("sends", c.dispatches).
 		Int64("predicted_ms", c.predicted.Milliseconds()).Int("unread_tokens", c.prefillTokens).Bool("fetched", c.fetchedCache).
 		Int64("first_ms", c.firstResponseAfter.Milliseconds()).Int64("total_ms", total.Milliseconds()).
--- a/internal/ingress/plain.go
+++ b/internal/ingress/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -134,7 +135,8 @@
 	if c.Quarantine.RecordCrash(c.fingerprint, e.ID) {
 		c.Log.Warn().Str("request", c.r.ID).Str("endpoint", e.ID).Uint64("fingerprint", c.fingerprint).Msg("request quarantined")
 	}
-	c.detail = appendDetail(c.detail, e.ID+" crashed")
+	c.sawCrash = true
+	c.detail = appendDetail(c.detail, fmt.Sprintf("%s crashed after %d events", e.ID, c.events.completed))
 }
 
 // probeReachable reports whether an endpoint accepts connections. If it does not, the fleet avoids it for a time.
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -34,22 +34,6 @@
 	lastEvent string
 	// partialEvent holds the bytes of an event that is not complete yet. It is empty for streams that can't be resumed.
 	partialEvent []byte
-	// partialBytes is the number of bytes that the engine has sent since the last read that completed an event. endsInNewline is
-	// true if the last of them is a newline, which may be the first half of an event's end.
-	partialBytes  int
-	endsInNewline bool
-}
-
-// completesEvent counts received bytes and reports whether they complete an event.
-func (st *streamState) completesEvent(p []byte) bool {
-	complete := bytes.Contains(p, eventEnd) || st.endsInNewline && p[0] == '\n'
-	st.endsInNewline = p[len(p)-1] == '\n'
-	if complete {
-		st.partialBytes = 0
-		return true
-	}
-	st.partialBytes += len(p)
-	return false
 }
 
 // serveEngine serves a request with a prompt and streams the generated tokens. It retries or resumes at other engines where the route
@@ -150,6 +134,7 @@
 	c.dispatches++
 	c.reachedEndpoint = true
 	c.endpoint = plan.Decode.Endpoint.ID
+	c.events = eventScanner{}
 	w := c.watchStall(plan, st)
 	defer w.stop()
 	a, err := c.Backend.Run(w.ctx, &plan.Decode.Endpoint, c.r, d)
@@ -244,7 +229,6 @@
 	}
 	buf := make([]byte, streamBuffer)
 	firstRead := true
-	st.partialBytes, st.endsInNewline = 0, false
 	for {
 		n, err := a.Body.Read(buf)
 		if n > 0 {
@@ -255,7 +239,7 @@
 				c.countUsage()
 			}
 			// Bytes that complete no event are no sign of progress: the engine may send them without end.
-			if st.completesEvent(buf[:n]) {
+			if c.events.scan(buf[:n]) > 0 {
 				w.recordActivity()
 				attempt.RecordActivity()
 			}
@@ -265,7 +249,7 @@
 				return false, false
 			}
 		}
-		if st.partialBytes > maxEventBytes {
+		if c.events.pending > maxEventBytes {
 			err = errEventTooLarge
 		}
 		if err == io.EOF {
@@ -352,10 +336,7 @@
 	return true
 }
 
-var (
-	eventEnd = []byte("\n\n")
-	idField  = []byte("id:")
-)
+var idField = []byte("id:")
 
 // lastEventID returns the id of the last event that has one. events must hold complete events only.
 func lastEventID(events []byte) (string, bool) {
--- a/internal/placement/select.go
+++ b/internal/placement/select.go
@@ -51,6 +51,15 @@
 	return p.Parts[:len(p.Parts)-1]
 }
 
+// SharedPartIDs returns the IDs of all parts but the last, which is the request's own.
+func (p *Prompt) SharedPartIDs() []string {
+	ids := make([]string, 0, len(p.Parts))
+	for _, part := range p.sharedParts() {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // option is a possible placement of a prompt. Times are in milliseconds.
 type option struct {
 	// prefillEngine is nil for a direct option, in which the decode engine prefills the prompt itself.
