Prompt parts that crash engines are blocked on all VMs

Cause: the quarantine knew whole requests only. Requests that share a part of their prompts are no two alike, so each of them could crash two engines; VMs told each other of quarantined requests, not of crashes; and every request that was in progress at a crashed engine counted as a suspect. The log lines added before show it: one part is in the prompts at 64 of 65 crashes, its requests ended without an event, and 205 requests were quarantined, most of them bystanders.

Now a crash counts against the shared parts of the requests that still waited for their answer at the engine, over all VMs; a complete answer clears the parts of its prompt; a part with three crashes that span 0.2 s is blocked 0.3 s later, the most specific one that explains them, and explains the crashes away for the others. Requests with a blocked part are refused at once with the time of the next probe, one request that one VM lets through after 15 s, then at twice the distance.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -133,8 +133,10 @@
 	Usage      UsageMeter
 	Budget     RetryBudget
 	Quarantine *retry.Quarantine
-	Log        zerolog.Logger
-	Observe    Observer
+	// Parts blocks requests with prompt parts that crash engines.
+	Parts   *retry.PartQuarantine
+	Log     zerolog.Logger
+	Observe Observer
 	// OnMisdirected is called with an endpoint that is not at its address and the time for which to avoid it.
 	OnMisdirected func(endpoint string, d time.Duration)
 	// Ready reports whether the configuration and the endpoints have been loaded.
@@ -157,6 +159,8 @@
 	Finished(route, outcome string, total, first time.Duration)
 	// Retried records that a request is tried at another endpoint.
 	Retried(service, reason string)
+	// PartRefused records a request that was refused because a part of its prompt crashes engines.
+	PartRefused(service string)
 }
 
 // Server serves requests by sending them to endpoints. It is safe for concurrent use.
@@ -206,8 +210,9 @@
 	team      string
 	priority  int
 	deadline  time.Time
-	// fingerprint identifies the request in the quarantine.
+	// fingerprint identifies the request in the quarantine, sharedParts the shared parts of its prompt.
 	fingerprint uint64
+	sharedParts []retry.Part
 	// excluded holds the IDs of the endpoints that failed or refused the request.
 	excluded map[string]bool
 	// dispatches counts the exchanges with endpoints, possibleRuns those that failed although the endpoint may have run the request.
@@ -219,8 +224,11 @@
 	// mayHaveRun is set once an endpoint may have started to run the request.
 	mayHaveRun   bool
 	usageCounted bool
-	// events scans the stream of the current exchange with an engine.
-	events eventScanner
+	// events scans the stream of the current exchange with an engine. firstEventAt is when its first event arrived; longAnswer is set
+	// once it has gone on for that long.
+	events       eventScanner
+	firstEventAt time.Time
+	longAnswer   bool
 	// reservedBytes is the part of bufferedBytes that belongs to this request.
 	reservedBytes int
 	// firstResponseAfter is the time from the request's arrival to the first part of its response; 0 before there is one.
@@ -302,11 +310,26 @@
 	if c.Quarantine.Blocked(c.fingerprint) {
 		return apierror.New(apierror.Unavailable, "don't send this request again", "the request crashed endpoints that ran it"), 0
 	}
+	if c.route.HasPrompts && c.r.Prompt != nil {
+		for _, id := range c.r.Prompt.SharedPartIDs() {
+			c.sharedParts = append(c.sharedParts, retry.NewPart(c.service, id))
+		}
+	}
+	if retryAfter, ok := c.Parts.Admit(c.sharedParts); !ok {
+		c.Observe.PartRefused(c.service)
+		return errCrashingPart(), retryAfter
+	}
 	c.objective = cat.MaxObjectiveByService[c.service]
 	c.Budget.RecordFirstTry(c.service)
 	return nil, 0
 }
 
+// errCrashingPart returns the error for a request whose prompt has a blocked part.
+func errCrashingPart() *apierror.Error {
+	return apierror.New(apierror.Unavailable, "leave out the part of the prompt that other requests shared before the failures, or retry later",
+		"a part of the prompt crashed the engines that answered it")
+}
+
 // stopRefusal returns an error if this VM may stop before the request's time limit. The response would be cut off then, which doesn't
 // tell the caller whether the request has run.
 func (c *call) stopRefusal() *apierror.Error {
@@ -366,7 +389,7 @@
 // takeRetry reports whether the request may be sent to another endpoint. It takes a retry from the budget only if the last exchange
 // reached an endpoint, because the budget limits the load on endpoints.
 func (c *call) takeRetry(reason string) bool {
-	if c.ctx.Err() != nil || c.Quarantine.Blocked(c.fingerprint) {
+	if c.ctx.Err() != nil || c.Quarantine.Blocked(c.fingerprint) || c.Parts.Blocked(c.sharedParts) {
 		return false
 	}
 	if c.reachedEndpoint && !c.Budget.AllowRetry(c.service) {
--- a/internal/ingress/plain.go
+++ b/internal/ingress/plain.go
@@ -10,6 +10,7 @@
 
 	"crocusglade.example/crocusglade/internal/catalog"
 	"crocusglade.example/crocusglade/internal/placement"
+	"crocusglade.example/crocusglade/internal/retry"
 	"crocusglade.example/crocusglade/internal/upstream"
 )
 
@@ -20,6 +21,9 @@
 	crashProbeTimeout = 150 * time.Millisecond
 	// minDispatchTime is the shortest remaining time with which a request is still sent to an endpoint.
 	minDispatchTime = 15 * time.Millisecond
+	// maxSuspectEvents is the largest number of events that an engine may have sent for a request that crashed it. Requests that crash
+	// engines do so when the answer begins.
+	maxSuspectEvents = 1
 )
 
 // plainResponse is the complete response of a plain service.
@@ -126,8 +130,9 @@
 	return errors.As(err, &sendErr) && !sendErr.MaySent
 }
 
-// checkCrash checks whether an endpoint has crashed after an exchange with it broke, and records a crash in the quarantine. It runs
-// before a retry, because a request that crashes several endpoints must not be sent to another one.
+// checkCrash checks whether an endpoint has crashed after an exchange with it broke, and records a crash in the quarantines, unless the
+// endpoint had already answered for a while. It runs before a retry, because a request that crashes several endpoints must not be sent to
+// another one.
 func (c *call) checkCrash(e *catalog.Endpoint) {
 	if c.probeReachable(c.ctx, e) {
 		return
@@ -137,6 +142,10 @@
 	}
 	c.sawCrash = true
 	c.detail = appendDetail(c.detail, fmt.Sprintf("%s crashed after %d events", e.ID, c.events.completed))
+	if c.events.completed > maxSuspectEvents {
+		return
+	}
+	c.Parts.RecordCrash(c.sharedParts, retry.CrashKey(e.ID, e.StartedAtMS))
 }
 
 // probeReachable reports whether an endpoint accepts connections. If it does not, the fleet avoids it for a time.
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -23,6 +23,8 @@
 	retryAfterOverload = 200 * time.Millisecond
 	// maxDispatches is the largest number of exchanges with endpoints for one request, including those that endpoints refused.
 	maxDispatches = 8
+	// longAnswer is how long an engine must have streamed events to prove, before the end of the stream, that the prompt doesn't crash it.
+	longAnswer = time.Second
 	// streamBuffer is the size in bytes of one read from an engine.
 	streamBuffer = 4096
 )
@@ -106,6 +108,12 @@
 			plan.Decode.Done(placement.Abandoned)
 			return false, c.ctx.Err() == nil
 		}
+		if c.Parts.Blocked(c.sharedParts) { // blocked during the prefill
+			c.detail = appendDetail(c.detail, errCrashingPart().Message)
+			plan.Decode.Done(placement.Abandoned)
+			c.freeHandle(handle)
+			return false, false
+		}
 		if !c.Fleet.ReplaceDecodeEngine(plan, c.r.Prompt, c.excluded) {
 			plan.Decode.Done(placement.Abandoned)
 			c.freeHandle(handle)
@@ -134,7 +142,7 @@
 	c.dispatches++
 	c.reachedEndpoint = true
 	c.endpoint = plan.Decode.Endpoint.ID
-	c.events = eventScanner{}
+	c.events, c.firstEventAt, c.longAnswer = eventScanner{}, time.Time{}, false
 	w := c.watchStall(plan, st)
 	defer w.stop()
 	a, err := c.Backend.Run(w.ctx, &plan.Decode.Endpoint, c.r, d)
@@ -242,6 +250,7 @@
 			if c.events.scan(buf[:n]) > 0 {
 				w.recordActivity()
 				attempt.RecordActivity()
+				c.recordLongAnswer()
 			}
 			if writeErr := c.forward(st, a, buf[:n]); writeErr != nil {
 				attempt.Done(placement.Abandoned)
@@ -266,6 +275,17 @@
 	}
 }
 
+// recordLongAnswer records an answer that goes on for longAnswer as a proof that the prompt crashes no engine.
+func (c *call) recordLongAnswer() {
+	if c.firstEventAt.IsZero() {
+		c.firstEventAt = time.Now()
+	}
+	if !c.longAnswer && time.Since(c.firstEventAt) > longAnswer {
+		c.longAnswer = true
+		c.Parts.RecordAnswer(c.sharedParts)
+	}
+}
+
 // relayFailure sends an engine's error response to the caller, unless the stream has started or another engine may be tried.
 func (c *call) relayFailure(attempt *placement.Attempt, a *Answer, st *streamState) (done, retryable bool) {
 	body, err := c.readBody(a.Body)
@@ -326,6 +346,8 @@
 // written to.
 func (c *call) completeStream(attempt *placement.Attempt, a *Answer, st *streamState) bool {
 	attempt.Done(placement.Served)
+	c.Parts.RecordAnswer(c.sharedParts)
+	c.Quarantine.Clear(c.fingerprint)
 	c.startStream(st, a)
 	if len(st.partialEvent) > 0 {
 		if err := c.w.WriteEvent(st.partialEvent); err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -116,9 +116,9 @@
 	n.fleet.Log = n.log
 	n.meter = metering.NewMeter(s.UsageWindow, n.medianClock.Now)
 	n.registry = &discovery.Registry{Decode: a.DecodeEndpoint, Changed: n.onEndpointsChanged, SinceStoreRecovery: n.catalogHolder.SinceStoreOutage, Log: n.log}
-	quarantine := retry.NewQuarantine(quarantineDuration)
+	quarantine, parts := retry.NewQuarantine(quarantineDuration), retry.NewPartQuarantine(bootclock.NowAsTime)
 	n.link = vmlink.New(vmlink.Config{VM: s.VM, Incarnation: n.incarnation, Domain: s.FailureDomain, CallerAddress: s.CallerListenAddress,
-		LinkAddress: n.linkAddress(s.IP), Catalog: n.catalogHolder, Fleet: n.fleet, Meter: n.meter, Ledger: n.ledger, Quarantine: quarantine,
+		LinkAddress: n.linkAddress(s.IP), Catalog: n.catalogHolder, Fleet: n.fleet, Meter: n.meter, Ledger: n.ledger, Quarantine: quarantine, Parts: parts,
 		MedianClock: n.medianClock, FetchCatalog: n.fetchCatalog, Log: n.log})
 	n.retryBudget = retry.NewWindowBudget(s.RetryRatio*retryBudgetFraction, s.RetrySlack*retryBudgetFraction, s.RetryWindow)
 	n.bounds.Store(&ingress.Bounds{RevokeBound: s.RevokeBound, ApplyBound: s.ApplyBound})
@@ -129,8 +129,13 @@
 	if err := t.ObserveExchange(n.link.OmittedReads, n.incompleteWindows.Load); err != nil {
 		return nil, err
 	}
+	parts.SetProbeOwnership(n.link.OwnsProbe)
+	parts.OnChange(func(part retry.Part, blocked bool, crashes int) {
+		requestMetrics.PartChanged(blocked)
+		n.log.Warn().Str("service", part.Service).Str("part", part.ID).Bool("blocked", blocked).Int("crashes", crashes).Msg("prompt part that crashes engines")
+	})
 	n.server = ingress.New(ingress.Config{Catalog: n.catalogHolder, Fleet: n.fleet, Backend: a.Backend, Usage: n.meter,
-		Budget: n.retryBudget, Quarantine: quarantine, Log: n.log, Observe: requestMetrics, OnMisdirected: n.link.AnnounceUnavailableEndpoint,
+		Budget: n.retryBudget, Quarantine: quarantine, Parts: parts, Log: n.log, Observe: requestMetrics, OnMisdirected: n.link.AnnounceUnavailableEndpoint,
 		Ready:  func() bool { return n.catalogHolder.Current() != nil && n.registry.HasSynced() },
 		Bounds: func() ingress.Bounds { return *n.bounds.Load() }, TimeToStop: n.timeToStop})
 	return n, nil
--- /dev/null
+++ b/internal/retry/part_quarantine.go
@@ -0,0 +1,352 @@
+package retry
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// crashesToBlock is the number of engine crashes after which a prompt part is blocked, and minCrashSpan the least time from the
+	// first of them to the last. Engines that are lost at the same moment, such as those of a failure domain, count against the parts
+	// that they served only if more crashes follow.
+	crashesToBlock = 3
+	minCrashSpan   = 200 * time.Millisecond
+	// settleTime is how long a part with enough crashes stays a candidate before it is blocked. Meanwhile the reports of other VMs
+	// arrive, which may prove the part sound or name a part that explains more crashes.
+	settleTime = 300 * time.Millisecond
+	// specificShare is the share of another candidate's crashes that a part deeper in the prompt must explain to be blocked in its
+	// place. A part that all requests of a team begin with is at the crashed engines as often as the cause.
+	specificShare = 2.0 / 3
+	// sameCrashWindow is the time within which reports of the same start of an engine are about one crash. An engine takes longer
+	// than this to start again.
+	sameCrashWindow = 2 * time.Second
+	// crashMemory is how long a crash counts against a part that no answer has proven sound.
+	crashMemory = 2 * time.Minute
+	// firstProbeDelay is the time from the last crash to the first request that is let through to find out whether a blocked part still
+	// crashes engines. The delay doubles with each probe up to maxProbeDelay.
+	firstProbeDelay = 15 * time.Second
+	maxProbeDelay   = 4 * time.Minute
+	// blockMemory is how long after the last crash a part stays blocked if no request with it arrives to probe it.
+	blockMemory = 15 * time.Minute
+	// reportTime is how long a VM reports its own crashes and proofs to the others. Each status message repeats them.
+	reportTime = 5 * time.Second
+	// maxPartIDBytes bounds the IDs of parts, which status messages contain.
+	maxPartIDBytes = 40
+	// maxPartRecords bounds the parts on record, maxCrashesPerPart the crashes of a part, and maxReported each list of a report.
+	maxPartRecords    = 8192
+	maxCrashesPerPart = 32
+	maxReported       = 128
+)
+
+// PartQuarantine finds prompt parts that crash engines, whatever else the requests hold, and blocks requests with such a part.
+//
+// A crash counts against all shared parts of the requests that waited for an answer at the engine. A complete answer proves the parts
+// of its prompt sound and clears what counted against them. A part that is blocked explains its crashes, which then no longer count
+// against the other parts. VMs exchange crashes, proofs and blocked parts. It is safe for concurrent use.
+type PartQuarantine struct {
+	now func() time.Time
+
+	mu      sync.Mutex
+	records map[Part]*partRecord
+	// explained holds the crashes that a blocked part explains, with the time of the crash.
+	explained map[uint64]time.Time
+	ownsProbe func(Part) bool
+	onChange  func(part Part, blocked bool, crashes int)
+}
+
+// partRecord holds what is known of one prompt part.
+type partRecord struct {
+	crashes []partCrash
+	// depth is the part's position in the prompt, from 0.
+	depth int
+	// candidateSince is when the part had enough crashes to be blocked; zero if it has fewer.
+	candidateSince time.Time
+	lastCrash      time.Time
+	// provenAt is when an answer last proved the part sound; ownProof is true if this VM relayed it.
+	provenAt time.Time
+	ownProof bool
+	blocked  bool
+	// probeAt is the time from which the VM that owns the part's probe lets a request through.
+	probeAt    time.Time
+	probeDelay time.Duration
+}
+
+// partCrash is a crash that counts against a part. own is true if a request of this VM was at the engine.
+type partCrash struct {
+	id  uint64
+	at  time.Time
+	own bool
+}
+
+// NewPartQuarantine returns an empty quarantine that reads the time from now.
+func NewPartQuarantine(now func() time.Time) *PartQuarantine {
+	return &PartQuarantine{now: now, records: make(map[Part]*partRecord), explained: make(map[uint64]time.Time),
+		ownsProbe: func(Part) bool { return true }, onChange: func(Part, bool, int) {}}
+}
+
+// SetProbeOwnership sets the function that reports whether this VM sends the probe of a blocked part, so that only one VM does. Set it
+// before use. It must not call the quarantine.
+func (q *PartQuarantine) SetProbeOwnership(owns func(Part) bool) { q.ownsProbe = owns }
+
+// OnChange registers a function that is called when a part becomes blocked, and when it no longer is, with the number of crashes.
+// Register before use. The function must not call the quarantine.
+func (q *PartQuarantine) OnChange(f func(part Part, blocked bool, crashes int)) { q.onChange = f }
+
+// Part identifies a prompt part of a service's requests.
+type Part struct{ Service, ID string }
+
+// NewPart returns the part with an ID that a caller chose. A long ID is replaced by its hash.
+func NewPart(service, id string) Part {
+	if len(id) > maxPartIDBytes {
+		id = fmt.Sprintf("%016x", xxhash.Sum64String(id))
+	}
+	return Part{Service: service, ID: id}
+}
+
+// CrashKey returns the key of a crash of an engine that started at the given time.
+func CrashKey(endpoint string, startedAtMS int64) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(endpoint) // writes to a Digest never fail
+	for range 8 {
+		_, _ = d.Write([]byte{byte(startedAtMS)})
+		startedAtMS >>= 8
+	}
+	return d.Sum64()
+}
+
+// Admit reports whether a request with these shared parts may be sent to an engine, and if not, the time after which a caller may try
+// again. When a blocked part is due for a probe, it admits one request as the probe.
+func (q *PartQuarantine) Admit(parts []Part) (retryAfter time.Duration, ok bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.now()
+	q.review(now)
+	for _, part := range parts {
+		r := q.blockedRecord(part)
+		switch {
+		case r == nil:
+		case now.Before(r.probeAt):
+			return r.probeAt.Sub(now), false
+		case !q.ownsProbe(part):
+			return firstProbeDelay, false
+		default:
+			q.scheduleProbe(r, now)
+		}
+	}
+	return 0, true
+}
+
+// Blocked reports whether one of the parts is blocked. Unlike Admit, it admits no probe.
+func (q *PartQuarantine) Blocked(parts []Part) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.review(q.now())
+	return slices.ContainsFunc(parts, func(part Part) bool { return q.blockedRecord(part) != nil })
+}
+
+// RecordCrash records that an engine crashed while a request with these shared parts, in the order of the prompt, waited there for its
+// answer.
+func (q *PartQuarantine) RecordCrash(parts []Part, crash uint64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.now()
+	for depth, part := range parts {
+		q.addCrash(part, depth, partCrash{id: crash, at: now, own: true})
+	}
+	q.review(now)
+}
+
+// RecordAnswer records that an engine completed the answer to a request with these shared parts.
+func (q *PartQuarantine) RecordAnswer(parts []Part) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, part := range parts {
+		if r := q.records[part]; r != nil {
+			q.prove(part, r, q.now(), true)
+		}
+	}
+}
+
+// addCrash counts a crash against a part, unless the part was proven sound after it, or a blocked part explains it.
+func (q *PartQuarantine) addCrash(part Part, depth int, c partCrash) {
+	r := q.records[part]
+	if r != nil && !r.provenAt.IsZero() && !c.at.After(r.provenAt) {
+		return
+	}
+	if r != nil && r.blocked {
+		r.lastCrash = later(r.lastCrash, c.at)
+		q.explain(c.id, c.at)
+		return
+	}
+	if at, ok := q.explained[c.id]; ok && c.at.Sub(at).Abs() < sameCrashWindow {
+		return
+	}
+	if r == nil {
+		if !q.makeRoom() {
+			return
+		}
+		r = &partRecord{}
+		q.records[part] = r
+	}
+	r.depth = depth
+	for i := range r.crashes {
+		if known := &r.crashes[i]; known.id == c.id && c.at.Sub(known.at).Abs() < sameCrashWindow {
+			known.own = known.own || c.own
+			return
+		}
+	}
+	if len(r.crashes) == maxCrashesPerPart {
+		r.crashes = r.crashes[1:]
+	}
+	r.crashes = append(r.crashes, c)
+	r.lastCrash = later(r.lastCrash, c.at)
+	r.updateCandidate(q.now())
+}
+
+// updateCandidate sets or clears candidateSince after a change of the crashes.
+func (r *partRecord) updateCandidate(now time.Time) {
+	first, last := r.lastCrash, time.Time{}
+	for _, c := range r.crashes {
+		if c.at.Before(first) {
+			first = c.at
+		}
+		last = later(last, c.at)
+	}
+	switch enough := len(r.crashes) >= crashesToBlock && last.Sub(first) >= minCrashSpan; {
+	case !enough:
+		r.candidateSince = time.Time{}
+	case r.candidateSince.IsZero():
+		r.candidateSince = now
+	}
+}
+
+// prove clears a part. It ignores proofs that are older than the part's last crash.
+func (q *PartQuarantine) prove(part Part, r *partRecord, at time.Time, own bool) {
+	if at.Before(r.lastCrash) || !at.After(r.provenAt) {
+		return
+	}
+	crashes := len(r.crashes)
+	wasBlocked := r.blocked
+	*r = partRecord{depth: r.depth, lastCrash: r.lastCrash, provenAt: at, ownProof: own}
+	if wasBlocked {
+		q.onChange(part, false, crashes)
+	}
+}
+
+// review deletes expired records and blocks the candidates whose settle time has passed.
+func (q *PartQuarantine) review(now time.Time) {
+	for part, r := range q.records {
+		if r.expired(now) {
+			delete(q.records, part)
+		}
+	}
+	for id, at := range q.explained {
+		if now.Sub(at) > crashMemory {
+			delete(q.explained, id)
+		}
+	}
+	for {
+		part, r := q.likeliestCause(now)
+		if r == nil {
+			return
+		}
+		q.block(part, r, now)
+	}
+}
+
+// likeliestCause returns the candidate to block next, or nil if there is none: of those that explain nearly as many crashes as any other,
+// the deepest in the prompt, and of these the one with the most crashes.
+func (q *PartQuarantine) likeliestCause(now time.Time) (Part, *partRecord) {
+	most := 0
+	for _, r := range q.records {
+		if r.settled(now) {
+			most = max(most, len(r.crashes))
+		}
+	}
+	part, best := Part{}, (*partRecord)(nil)
+	for key, r := range q.records {
+		if !r.settled(now) || float64(len(r.crashes)) < specificShare*float64(most) {
+			continue
+		}
+		if best == nil || cmp.Or(cmp.Compare(r.depth, best.depth), cmp.Compare(len(r.crashes), len(best.crashes)), cmp.Compare(part.ID, key.ID), cmp.Compare(part.Service, key.Service)) > 0 {
+			part, best = key, r
+		}
+	}
+	return part, best
+}
+
+// settled reports whether the part is a candidate whose settle time has passed.
+func (r *partRecord) settled(now time.Time) bool {
+	return !r.blocked && !r.candidateSince.IsZero() && now.Sub(r.candidateSince) >= settleTime
+}
+
+// expired reports whether nothing about the part needs to be kept.
+func (r *partRecord) expired(now time.Time) bool {
+	if r.blocked {
+		return now.Sub(r.lastCrash) > blockMemory
+	}
+	return now.Sub(later(r.lastCrash, r.provenAt)) > crashMemory
+}
+
+// block blocks a part and removes the crashes that it explains from the other parts.
+func (q *PartQuarantine) block(part Part, r *partRecord, now time.Time) {
+	r.blocked, r.probeDelay = true, firstProbeDelay
+	q.scheduleProbe(r, now)
+	for _, c := range r.crashes {
+		q.explain(c.id, c.at)
+	}
+	q.onChange(part, true, len(r.crashes))
+}
+
+// scheduleProbe sets the time of the next probe.
+func (q *PartQuarantine) scheduleProbe(r *partRecord, now time.Time) {
+	r.probeAt = now.Add(r.probeDelay)
+	r.probeDelay = min(2*r.probeDelay, maxProbeDelay)
+}
+
+// explain records that a blocked part explains a crash, which then no longer counts against parts that are not blocked.
+func (q *PartQuarantine) explain(crash uint64, at time.Time) {
+	q.explained[crash] = at
+	for _, r := range q.records {
+		if r.blocked {
+			continue
+		}
+		before := len(r.crashes)
+		r.crashes = slices.DeleteFunc(r.crashes, func(c partCrash) bool { return c.id == crash && c.at.Sub(at).Abs() < sameCrashWindow })
+		if len(r.crashes) != before {
+			r.updateCandidate(q.now())
+		}
+	}
+}
+
+func (q *PartQuarantine) blockedRecord(part Part) *partRecord {
+	if r := q.records[part]; r != nil && r.blocked {
+		return r
+	}
+	return nil
+}
+
+// makeRoom evicts the record with the oldest crash if there are too many. It returns false if all of them are blocked.
+func (q *PartQuarantine) makeRoom() bool {
+	if len(q.records) < maxPartRecords {
+		return true
+	}
+	var evict Part
+	var oldest *partRecord
+	for part, r := range q.records {
+		if !r.blocked && (oldest == nil || r.lastCrash.Before(oldest.lastCrash)) {
+			evict, oldest = part, r
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	delete(q.records, evict)
+	return true
+}
--- a/internal/telemetry/requests.go
+++ b/internal/telemetry/requests.go
@@ -11,6 +11,8 @@
 type RequestMetrics struct {
 	finished    metric.Int64Counter
 	retried     metric.Int64Counter
+	partRefused metric.Int64Counter
+	partBlocked metric.Int64Counter
 	duration    metric.Float64Histogram
 	firstAnswer metric.Float64Histogram
 }
@@ -44,6 +46,8 @@
 	m := &RequestMetrics{
 		finished:    b.counter("requests", "Finished requests, by route and outcome."),
 		retried:     b.counter("request_retries", "Retries on another endpoint, by service."),
+		partRefused: b.counter("prompt_part_refused", "Requests refused because a part of their prompt crashes engines, by service."),
+		partBlocked: b.counter("prompt_part_changes", "Prompt parts that were blocked or released, by change."),
 		duration:    b.secondsHistogram("request_duration", "Time from the arrival of a request to its end."),
 		firstAnswer: b.secondsHistogram("request_first_answer", "Time from the arrival of a request to the first part of its response."),
 	}
@@ -65,3 +69,17 @@
 func (m *RequestMetrics) Retried(service, _ string) {
 	m.retried.Add(context.Background(), 1, labels("service", service))
 }
+
+// PartRefused counts a request that was refused because a part of its prompt crashes engines.
+func (m *RequestMetrics) PartRefused(service string) {
+	m.partRefused.Add(context.Background(), 1, labels("service", service))
+}
+
+// PartChanged counts a prompt part that became blocked or is no longer blocked.
+func (m *RequestMetrics) PartChanged(blocked bool) {
+	change := "released"
+	if blocked {
+		change = "blocked"
+	}
+	m.partBlocked.Add(context.Background(), 1, labels("change", change))
+}
--- a/internal/vmlink/link.go
+++ b/internal/vmlink/link.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
@@ -50,6 +51,7 @@
 	Meter                      *metering.Meter
 	Ledger                     *metering.Ledger
 	Quarantine                 *retry.Quarantine
+	Parts                      *retry.PartQuarantine
 	MedianClock                *MedianClock
 	// FetchCatalog fetches and applies the configuration of the VM at a link address. It is called when that VM has a newer one.
 	FetchCatalog func(ctx context.Context, link string) error
@@ -250,6 +252,7 @@
 // connection is nil before Run.
 func (l *Link) buildMessage() (*StatusMessage, []net.Addr, net.PacketConn) {
 	work, reads := l.Fleet.CollectWork()
+	parts := l.Parts.Report()
 	if len(reads) > maxMessageReads {
 		reads = reads[len(reads)-maxMessageReads:]
 	}
@@ -258,6 +261,7 @@
 	msg := &StatusMessage{VM: l.VM, Incarnation: l.Incarnation, Domain: l.Domain, Front: l.CallerAddress, Link: l.LinkAddress,
 		Draining: l.draining, DutyToken: l.dutyToken, Work: encodeWork(work), Reads: EncodeReads(reads), Demand: l.Fleet.MeasureDemand(),
 		Unreachable: encodeUnreachable(l.Fleet.UnreachableEndpoints()), ConfirmedMS: -1}
+	msg.encodeParts(parts)
 	for fingerprint := range l.Quarantine.Entries() {
 		msg.Quarantined = append(msg.Quarantined, fingerprint)
 	}
@@ -336,6 +340,7 @@
 			l.Quarantine.Add(fingerprint, time.Minute)
 		}
 	}
+	l.Parts.MergeReport(msg.decodeParts())
 	l.handleConfirmation(ctx, &msg)
 }
 
@@ -415,3 +420,18 @@
 
 // Size returns the number of live VMs, this one included.
 func (l *Link) Size() int { return len(l.LivePeers()) + 1 }
+
+// OwnsProbe reports whether this VM is the one of the live VMs that probes a blocked prompt part, by rendezvous hashing of the names.
+func (l *Link) OwnsProbe(part retry.Part) bool {
+	own := probeRank(l.VM, part)
+	for _, p := range l.LivePeers() {
+		if h := probeRank(p.Name, part); h > own || h == own && p.Name < l.VM {
+			return false
+		}
+	}
+	return true
+}
+
+func probeRank(vm string, part retry.Part) uint64 {
+	return xxhash.Sum64String(vm + "\x00" + part.Service + "\x00" + part.ID)
+}
--- a/internal/vmlink/message.go
+++ b/internal/vmlink/message.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"crocusglade.example/crocusglade/internal/placement"
+	"crocusglade.example/crocusglade/internal/retry"
 )
 
 // StatusMessage is the status that a VM sends to the others. Fields have numbers instead of names on the wire, so the numbers of
@@ -44,6 +45,10 @@
 	UnavailableEndpoints map[string]int64 `cbor:"18,keyasint,omitempty"`
 	// Unreachable holds the endpoints that accept no connection from the sender, with the milliseconds since it detected that.
 	Unreachable map[string]int64 `cbor:"19,keyasint,omitempty"`
+	// PartCrashes, PartProofs and PartBlocks report prompt parts that may crash engines; see retry.PartReport.
+	PartCrashes []PartCrash `cbor:"21,keyasint,omitempty"`
+	PartProofs  []PartProof `cbor:"22,keyasint,omitempty"`
+	PartBlocks  []PartBlock `cbor:"23,keyasint,omitempty"`
 	// Demand is the sender's demand for prompt processing by service, in tokens per second.
 	Demand map[string]float64 `cbor:"17,keyasint,omitempty"`
 }
@@ -123,3 +128,69 @@
 	}
 	return out
 }
+
+// SharedPart is a prompt part of a service's requests.
+type SharedPart struct {
+	Service string `cbor:"11,keyasint"`
+	ID      string `cbor:"12,keyasint"`
+}
+
+// PartCrash is an engine crash that counts against a prompt part at a position in its prompt.
+type PartCrash struct {
+	SharedPart
+	Crash uint64 `cbor:"2,keyasint"`
+	Depth int    `cbor:"3,keyasint,omitempty"`
+	AgeMS int64  `cbor:"4,keyasint,omitempty"`
+}
+
+// PartProof is an answer that proved a prompt part sound.
+type PartProof struct {
+	SharedPart
+	AgeMS int64 `cbor:"2,keyasint,omitempty"`
+}
+
+// PartBlock is a blocked prompt part, with the time since its last crash and until its next probe.
+type PartBlock struct {
+	SharedPart
+	LastCrashAgeMS int64    `cbor:"2,keyasint,omitempty"`
+	UntilProbeMS   int64    `cbor:"3,keyasint,omitempty"`
+	Crashes        []uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+// encodeParts adds a report about prompt parts to the message.
+func (m *StatusMessage) encodeParts(r retry.PartReport) {
+	for _, c := range r.Crashes {
+		m.PartCrashes = append(m.PartCrashes, PartCrash{SharedPart: SharedPart(c.Part), Crash: c.Crash, Depth: c.Depth, AgeMS: c.Age.Milliseconds()})
+	}
+	for _, p := range r.Proofs {
+		m.PartProofs = append(m.PartProofs, PartProof{SharedPart: SharedPart(p.Part), AgeMS: p.Age.Milliseconds()})
+	}
+	for _, b := range r.Blocks {
+		m.PartBlocks = append(m.PartBlocks, PartBlock{SharedPart: SharedPart(b.Part), LastCrashAgeMS: b.LastCrashAge.Milliseconds(),
+			UntilProbeMS: b.UntilProbe.Milliseconds(), Crashes: b.ExplainsCrash})
+	}
+}
+
+// decodeParts returns the report about prompt parts in the message.
+func (m *StatusMessage) decodeParts() retry.PartReport {
+	var r retry.PartReport
+	for _, c := range m.PartCrashes {
+		r.Crashes = append(r.Crashes, retry.ReportedCrash{Part: retry.Part(c.SharedPart), Crash: c.Crash, Depth: c.Depth, Age: age(c.AgeMS)})
+	}
+	for _, p := range m.PartProofs {
+		r.Proofs = append(r.Proofs, retry.ReportedProof{Part: retry.Part(p.SharedPart), Age: age(p.AgeMS)})
+	}
+	for _, b := range m.PartBlocks {
+		r.Blocks = append(r.Blocks, retry.ReportedBlock{Part: retry.Part(b.SharedPart), LastCrashAge: age(b.LastCrashAgeMS), UntilProbe: age(b.UntilProbeMS),
+			ExplainsCrash: b.Crashes})
+	}
+	return r
+}
+
+// maxAge bounds the times in a message, so that they can be computed with.
+const maxAge = 24 * time.Hour
+
+// age converts a number of milliseconds that another VM sent.
+func age(ms int64) time.Duration {
+	return time.Duration(min(max(ms, 0), maxAge.Milliseconds())) * time.Millisecond
+}
