A stream that ends inside an event has been broken off

Callers of such a stream got the beginning of the next event as the end of a complete response, or an empty 200 of an engine that crashed before its first event.

Cause: any regular end of the response counted as the end of the stream. Now a stream is complete only after a whole event, and one that ends with its connection only if it had an event. Otherwise it is resumed elsewhere, or the caller's connection is aborted.

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -24,6 +24,7 @@
 
 var (
 	errResponseTooLarge = errors.New("endpoint's response is too large to be relayed; limit the size of the service's responses")
+	errIncompleteStream = errors.New("endpoint's stream ended inside an event or before the first one")
 	errEventTooLarge    = errors.New("endpoint sent bytes without the end of an event; check the endpoint")
 )
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -81,6 +81,8 @@
 	Misdirected bool
 	// Signed is true if the response carries the endpoint's signature and has an encoding that the caller asked for.
 	Signed bool
+	// EndsWithConnection is true if the response has neither a length nor chunks, so that its end may be that of a crashed endpoint.
+	EndsWithConnection bool
 }
 
 // Backend sends requests to endpoints. Errors of Run and Prefill are of type *upstream.SendError.
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -261,6 +261,9 @@
 		if c.events.pending > maxEventBytes {
 			err = errEventTooLarge
 		}
+		if err == io.EOF && (c.events.pending > 0 || a.EndsWithConnection && c.events.completed == 0) {
+			err = errIncompleteStream
+		}
 		if err == io.EOF {
 			return c.completeStream(attempt, a, st), false
 		}
@@ -342,8 +345,8 @@
 	c.w.StartStream(a.Status, a.Header)
 }
 
-// completeStream ends a stream that the engine ended regularly, and sends the remaining bytes. It returns false if the caller can't be
-// written to.
+// completeStream ends a stream that the engine ended regularly, and sends the empty lines after its last event. It returns false if the
+// caller can't be written to.
 func (c *call) completeStream(attempt *placement.Attempt, a *Answer, st *streamState) bool {
 	attempt.Done(placement.Served)
 	c.Parts.RecordAnswer(c.sharedParts)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -81,7 +81,10 @@
 	Status int
 	Header http.Header
 	// Reused is true if the request was sent over a reused connection.
-	Reused    bool
+	Reused bool
+	// EndsWithConnection is true if the response has neither a length nor chunks, so that a crash can't be told from its end.
+	EndsWithConnection bool
+
 	body      io.ReadCloser
 	conn      *conn
 	client    *Client
@@ -152,7 +155,7 @@
 		return nil, &SendError{MaySent: true, Err: errors.Wrap(err, "read response header")}
 	}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Reused: reused, body: resp.Body, conn: c, client: cl, detachContext: stop,
-		selfDelimited: !resp.Close}, nil
+		selfDelimited: !resp.Close, EndsWithConnection: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0}, nil
 }
 
 // getConn returns an idle connection that is still usable, or a new one. It reports whether the connection is reused.
