upstream: a repeated refusal is not taken for the response to the next request

Another operator reported that a faulty replica wrote an earlier refusal once more on a kept connection; callers were told 'not run' for requests that ran, or such a request ran twice. A repeated refusal with its id was skipped here already, except before a control call, which has no id; one without an id was taken for the response to the next request.

On a reused connection a response must carry the request's id now, and a control call skips responses that carry one. A response without an id there ends the connection and counts as one to a request that may have run. TestRepeatedRefusalIsNotTakenForResponse failed before in two of three cases.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -69,8 +69,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// ID is the request id that the response must carry in the client's id header. If it is empty, or the response has no such
-	// header, the response isn't checked.
+	// ID is the request id that the response must carry in the client's id header. On a new connection, a response without such a
+	// header is accepted too, and if ID is empty, any response.
 	ID string
 	// NewConnection opens a new connection, for requests that must not fail because the endpoint has closed an idle one.
 	NewConnection bool
@@ -145,7 +145,7 @@
 		netdial.ResetConn(c.Conn)
 		return nil, &SendError{MaySent: sent, Err: errors.Wrap(err, "send")}
 	}
-	resp, err := cl.readResponse(c, r)
+	resp, err := cl.readResponse(c, r, reused)
 	if err != nil {
 		stop()
 		netdial.ResetConn(c.Conn)
@@ -265,8 +265,10 @@
 	return true, nil
 }
 
-// readResponse reads responses until one belongs to the request, at most maxStaleResponses.
-func (cl *Client) readResponse(c *conn, r *Request) (*http.Response, error) {
+// readResponse reads responses until one belongs to the request, at most maxStaleResponses. On a reused connection that is one with the
+// request's id, because a response to an earlier request may arrive late or a second time. One without an id can't be assigned to a
+// request there.
+func (cl *Client) readResponse(c *conn, r *Request, reused bool) (*http.Response, error) {
 	for range maxStaleResponses {
 		resp, err := c.readResponseHeader(r.Method)
 		if err != nil {
@@ -276,8 +278,11 @@
 			continue // interim responses carry nothing for the caller
 		}
 		id := resp.Header.Get(cl.idHeader)
-		if r.ID == "" || id == "" || id == r.ID {
+		switch {
+		case id == r.ID, !reused && (r.ID == "" || id == ""):
 			return resp, nil
+		case id == "":
+			return nil, errors.Wrap(ErrMalformed, "response on a reused connection carries no request id")
 		}
 		skipped, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStaleBodyBytes))
 		if err != nil || resp.Close || skipped == maxStaleBodyBytes {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -94,6 +94,52 @@
 	}
 }
 
+// Guards against taking a repeated refusal of an earlier request for the response to the next one on a reused connection: the caller would
+// be told that its request hasn't run.
+func TestRepeatedRefusalIsNotTakenForResponse(t *testing.T) {
+	refusal := func(header string) string {
+		return "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n" + header + "Content-Length: 0\r\n\r\n"
+	}
+	for name, c := range map[string]struct {
+		repeated string
+		secondID string
+		want     string // the body, or "" for an error
+	}{
+		"with its id":                        {refusal("X-Id: first-id\r\n"), "second-id", "second"},
+		"without an id":                      {refusal(""), "second-id", ""},
+		"with its id, before a control call": {refusal("X-Id: first-id\r\n"), "", "second"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr := startServer(t, func(n int, conn *net.TCPConn, br *bufio.Reader) {
+				if _, _, err := readRequest(br); err == nil {
+					fmt.Fprint(conn, refusal("X-Id: first-id\r\n"))
+				}
+				if id, _, err := readRequest(br); err == nil {
+					fmt.Fprint(conn, c.repeated)
+					writeResponse(conn, id, "second")
+				}
+				_, _ = br.ReadByte()
+			})
+			client := New(idHeader)
+			if _, _, err := exchange(t, client, addr, newRequest("first-id")); err != nil {
+				t.Fatal(err)
+			}
+			r := newRequest(c.secondID)
+			if c.secondID == "" {
+				r.Header.Del(idHeader)
+			}
+			got, reused, err := exchange(t, client, addr, r)
+			var sendErr *SendError
+			switch {
+			case c.want != "" && (err != nil || got != c.want || !reused):
+				t.Errorf("response %q, reused %v, %v; want %q", got, reused, err, c.want)
+			case c.want == "" && (!errors.As(err, &sendErr) || !sendErr.MaySent):
+				t.Errorf("response %q, %v; want an error that says that the request may have run", got, err)
+			}
+		})
+	}
+}
+
 // Guards against reuse of a connection with unread bytes that belong to no request.
 func TestConnectionWithExtraBytesIsNotReused(t *testing.T) {
 	addr := startServer(t, func(n int, c *net.TCPConn, br *bufio.Reader) {
