endpoint: a refusal with the id of another request is not taken for one's own

The error has the reason WrongRequest now, which cancels the request. TestRepeatedRefusalBelongsToAnotherRequest failed before.

--- a/internal/endpoint/completion.go
+++ b/internal/endpoint/completion.go
@@ -117,7 +117,7 @@
 		return nil, err
 	}
 	if resp.StatusCode != http.StatusOK {
-		return nil, statusError(resp, addr, r.Path)
+		return nil, dataStatusError(resp, addr, r.Path, r.RequestID)
 	}
 	defer resp.Body.Close()
 	body, err := c.readBody(resp.Body)
@@ -203,7 +203,7 @@
 		return nil, err
 	}
 	if resp.StatusCode != http.StatusOK {
-		err := statusError(resp, addr, op)
+		err := dataStatusError(resp, addr, op, r.RequestID)
 		w.stop()
 		return nil, err
 	}
@@ -216,6 +216,16 @@
 	return s, nil
 }
 
+// dataStatusError is like statusError, but returns an error with the reason WrongRequest for the response to another request: an engine
+// may repeat an earlier refusal on a kept connection while it runs this request.
+func dataStatusError(resp *http.Response, addr, op, requestID string) *Error {
+	err := statusError(resp, addr, op)
+	if id := resp.Header.Get(requestIDHeader); id != "" && id != requestID {
+		return &Error{Addr: addr, Op: op, Reason: WrongRequest, MaybeSent: true, Err: errors.New("refusal carries the id of another request")}
+	}
+	return err
+}
+
 func newEventScanner(r io.Reader, limit int64) *bufio.Scanner {
 	s := bufio.NewScanner(r)
 	s.Buffer(make([]byte, 0, 4096), int(limit))
--- a/internal/endpoint/endpoint_test.go
+++ b/internal/endpoint/endpoint_test.go
@@ -1,6 +1,7 @@
 package endpoint_test
 
 import (
+	"bufio"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -307,3 +308,48 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against taking an earlier refusal that an engine repeats on a kept connection for the refusal of the next request, which runs:
+// it would run at a second engine too.
+func TestRepeatedRefusalBelongsToAnotherRequest(t *testing.T) {
+	refuse := func(w io.Writer, id string) {
+		fmt.Fprintf(w, "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		br := bufio.NewReader(conn)
+		for range 3 {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			refuse(conn, "first")
+		}
+	}()
+	c := endpoint.New(endpoint.Options{})
+	defer c.Close()
+	run := func(id string) *endpoint.Error {
+		_, err := c.RunUnary(t.Context(), l.Addr().String(), endpoint.DataRequest{Path: endpoint.ChatPath, RequestID: id, Body: []byte("{}")})
+		return endpoint.AsError(err)
+	}
+	if e := run("first"); e == nil || e.Reason != endpoint.Refused || e.Status != http.StatusServiceUnavailable {
+		t.Errorf("own refusal: %v", e)
+	}
+	if e := run("second"); e == nil || e.Reason != endpoint.WrongRequest || !e.MaybeSent {
+		t.Errorf("repeated refusal, not streamed: %v", e)
+	}
+	_, err = c.Stream(t.Context(), l.Addr().String(), endpoint.DataRequest{Path: endpoint.ChatPath, RequestID: "third", Body: []byte("{}")})
+	if e := endpoint.AsError(err); e == nil || e.Reason != endpoint.WrongRequest || !e.MaybeSent {
+		t.Errorf("repeated refusal, streamed: %v", e)
+	}
+}
