A resumed stream takes nothing from an engine but the rest of its events

Another operator reported that a stream broke off, the next replica answered with an error, and callers found its text in the middle of their stream, or the stream ended as if it were complete. Error statuses were kept out here already.

Every response that is streamed must be signed now, the events of a resumed stream must follow the last one that the caller has, and a rest without events is incomplete if the stream broke off inside one.

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -25,6 +25,7 @@
 var (
 	errResponseTooLarge = errors.New("endpoint's response is too large to be relayed; limit the size of the service's responses")
 	errIncompleteStream = errors.New("endpoint's stream ended inside an event or before the first one")
+	errNotResumed       = errors.New("endpoint didn't continue the stream after the last event; check that it honours the id of the last event")
 	errEventTooLarge    = errors.New("endpoint sent bytes without the end of an event; check the endpoint")
 )
 
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -6,9 +6,12 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"crocusglade.example/crocusglade/internal/apierror"
 	"crocusglade.example/crocusglade/internal/placement"
 	"crocusglade.example/crocusglade/internal/upstream"
@@ -36,6 +39,8 @@
 	lastEvent string
 	// partialEvent holds the bytes of an event that is not complete yet. It is empty for streams that can't be resumed.
 	partialEvent []byte
+	// moreEvents is true if the last engine broke the stream off inside an event, so that at least one event must follow.
+	moreEvents bool
 }
 
 // serveEngine serves a request with a prompt and streams the generated tokens. It retries or resumes at other engines where the route
@@ -232,7 +237,7 @@
 	if a.Status >= http.StatusMultipleChoices {
 		return c.relayFailure(attempt, a, st)
 	}
-	if !a.Signed && !st.started.Load() {
+	if !a.Signed {
 		return false, c.recordFailure(attempt, &upstream.SendError{MaySent: true, Err: upstream.ErrMalformed})
 	}
 	buf := make([]byte, streamBuffer)
@@ -252,16 +257,20 @@
 				attempt.RecordActivity()
 				c.recordLongAnswer()
 			}
-			if writeErr := c.forward(st, a, buf[:n]); writeErr != nil {
+			forwardErr := c.forward(st, a, buf[:n])
+			switch {
+			case errors.Is(forwardErr, errNotResumed):
+				err = forwardErr
+			case forwardErr != nil:
 				attempt.Done(placement.Abandoned)
-				c.detail = appendDetail(c.detail, "write to caller: "+writeErr.Error())
+				c.detail = appendDetail(c.detail, "write to caller: "+forwardErr.Error())
 				return false, false
 			}
 		}
 		if c.events.pending > maxEventBytes {
 			err = errEventTooLarge
 		}
-		if err == io.EOF && (c.events.pending > 0 || a.EndsWithConnection && c.events.completed == 0) {
+		if err == io.EOF && c.isIncomplete(a, st) {
 			err = errIncompleteStream
 		}
 		if err == io.EOF {
@@ -271,7 +280,7 @@
 			if w.ctx.Err() != nil {
 				err = context.Cause(w.ctx)
 			}
-			st.partialEvent = nil
+			st.partialEvent, st.moreEvents = nil, c.events.pending > 0
 			c.excluded[attempt.Endpoint.ID] = true
 			return false, c.recordFailure(attempt, &upstream.SendError{MaySent: true, Err: err})
 		}
@@ -312,7 +321,7 @@
 }
 
 // forward sends a part of the response to the caller. For resumable streams it sends complete events only, so that another engine can
-// continue after the last one.
+// continue after the last one, and returns errNotResumed if the events don't follow those that the caller has.
 func (c *call) forward(st *streamState, a *Answer, p []byte) error {
 	if !c.route.Resumable {
 		c.startStream(st, a)
@@ -324,6 +333,9 @@
 		return nil
 	}
 	complete := st.partialEvent[:end+len(eventEnd)]
+	if !follows(complete, st.lastEvent) {
+		return errNotResumed
+	}
 	c.startStream(st, a)
 	if err := c.w.WriteEvent(complete); err != nil {
 		return err
@@ -361,7 +373,31 @@
 	return true
 }
 
-var idField = []byte("id:")
+var (
+	idField = []byte("id:")
+	idLine  = []byte("\nid:")
+)
+
+// isIncomplete reports whether a stream that the engine ended regularly lacks events or the end of one.
+func (c *call) isIncomplete(a *Answer, st *streamState) bool {
+	return c.events.pending > 0 || c.events.completed == 0 && (a.EndsWithConnection || st.moreEvents)
+}
+
+// follows reports whether the first id among events is above the id of the event before them. It is true if one of them is no number.
+func follows(events []byte, before string) bool {
+	at := 0
+	if !bytes.HasPrefix(events, idField) {
+		i := bytes.Index(events, idLine)
+		if i < 0 {
+			return true
+		}
+		at = i + 1
+	}
+	line, _, _ := bytes.Cut(events[at+len(idField):], []byte("\n"))
+	first, err := strconv.ParseUint(string(bytes.TrimSpace(line)), 10, 64)
+	last, beforeErr := strconv.ParseUint(before, 10, 64)
+	return err != nil || beforeErr != nil || first > last
+}
 
 // lastEventID returns the id of the last event that has one. events must hold complete events only.
 func lastEventID(events []byte) (string, bool) {
