Endpoints that leave or ask for a pause are heard from their responses

A request that finds all endpoints in a pause waits for the end of the earliest one if that is within two thirds of its time, and is refused with the rest of the pause otherwise.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -65,8 +65,8 @@
 
 // Handle identifies the KV cache of a prompt on the engine that prefilled it.
 type Handle struct {
-	Address string
-	ID      string
+	Endpoint catalog.Endpoint
+	ID       string
 }
 
 // Answer is an endpoint's response. Body must be closed.
@@ -161,6 +161,8 @@
 	Finished(route, outcome string, total, first time.Duration)
 	// Retried records that a request is tried at another endpoint.
 	Retried(service, reason string)
+	// Paused records a request that no endpoint could take because of pauses: it waited for the end of one, or was refused.
+	Paused(service string, waited bool)
 	// PartRefused records a request that was refused because a part of its prompt crashes engines.
 	PartRefused(service string)
 }
@@ -172,11 +174,15 @@
 	// bufferedBytes is the size of the responses that are currently buffered.
 	bufferedBytes atomic.Int64
 	started       time.Time
+	// pauseWaitShare is maxPauseWaitShare, which measurements vary.
+	pauseWaitShare float64
 	// pickCount is the number of requests that were assigned to one of their route's services; see nextPick.
 	pickCount atomic.Uint64
 }
 
-func New(c Config) *Server { return &Server{Config: c, started: time.Now()} }
+func New(c Config) *Server {
+	return &Server{Config: c, started: time.Now(), pauseWaitShare: maxPauseWaitShare}
+}
 
 // InFlight returns the number of requests in progress.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
@@ -231,6 +237,10 @@
 	events       eventScanner
 	firstEventAt time.Time
 	longAnswer   bool
+	// freeAfter is the Retry-After time of a request that is refused because of pauses; 0 if it is not.
+	freeAfter time.Duration
+	// pauseWaitEnds is until when the request waits for the end of a pause; zero until it waits.
+	pauseWaitEnds time.Time
 	// reservedBytes is the part of bufferedBytes that belongs to this request.
 	reservedBytes int
 	// firstResponseAfter is the time from the request's arrival to the first part of its response; 0 before there is one.
@@ -242,6 +252,8 @@
 	predicted       time.Duration
 	prefillTokens   int
 	fetchedCache    bool
+	// unavailable describes the endpoints that leave or pause.
+	unavailable string
 	// sawCrash is set once an endpoint crashed while the request was in progress there.
 	sawCrash bool
 }
@@ -436,6 +448,8 @@
 		c.refuse(apierror.New(apierror.TimedOut, "check whether the request took effect before you send it again", "%s", reason).WithExecution(apierror.ExecutionUnknown), 0)
 	case c.mayHaveRun:
 		c.refuse(apierror.New(apierror.OutcomeUnknown, "check whether the request took effect before you send it again", "%s", reason).WithExecution(apierror.ExecutionUnknown), 0)
+	case c.freeAfter > 0:
+		c.refuse(apierror.New(apierror.Unavailable, "retry after the given time, or use another address", "the endpoints asked for a pause"), c.freeAfter)
 	default:
 		c.refuse(apierror.New(apierror.Unavailable, "retry later", "%s", reason), retryAfter)
 	}
@@ -457,6 +471,9 @@
 	if c.sawCrash && c.r.Prompt != nil {
 		line = line.Strs("shared_parts", c.r.Prompt.SharedPartIDs())
 	}
+	if c.unavailable != "" {
+		line = line.Str("unavailable", c.unavailable)
+	}
 	line.Str("request", c.r.ID).Str("route", name).Str("service", c.service).Str("team", c.team).
 		Str("endpoint", c.endpoint).Str("reader", c.prefillEndpoint).Int("sends", c.dispatches).
 		Int64("predicted_ms", c.predicted.Milliseconds()).Int("unread_tokens", c.prefillTokens).Bool("fetched", c.fetchedCache).
@@ -465,7 +482,8 @@
 		Str("detail", c.detail).Str("outcome", outcome).Msg("request")
 }
 
-// recordRefusal records that an endpoint refused the request without running it, and excludes the endpoint from further tries.
+// recordRefusal records that an endpoint refused the request without running it, and excludes the endpoint from further tries. One that
+// asked for a pause may run the request after it.
 func (c *call) recordRefusal(attempt *placement.Attempt, misdirected bool) {
 	outcome := placement.Refused
 	if misdirected {
@@ -473,7 +491,7 @@
 		c.OnMisdirected(attempt.Endpoint.ID, placement.MisdirectedAvoidTime)
 	}
 	attempt.Done(outcome)
-	c.excluded[attempt.Endpoint.ID] = true
+	c.excluded[attempt.Endpoint.ID] = c.Fleet.MayReceive(&attempt.Endpoint)
 	c.detail = appendDetail(c.detail, "turned away by "+attempt.Endpoint.ID)
 }
 
--- a/internal/ingress/plain.go
+++ b/internal/ingress/plain.go
@@ -41,6 +41,9 @@
 			break
 		}
 		attempt := c.Fleet.PlaceCall(c.service, c.excluded)
+		if attempt == nil && c.awaitFreeEndpoint() {
+			continue
+		}
 		if attempt == nil {
 			c.detail = appendDetail(c.detail, "no endpoint accepts requests")
 			break
@@ -49,7 +52,6 @@
 		if response != nil {
 			last = response
 		}
-		c.excluded[attempt.Endpoint.ID] = true
 		if !retryable || c.dispatches >= maxDispatches || !c.takeRetry(c.detail) {
 			break
 		}
@@ -66,6 +68,7 @@
 // another endpoint.
 func (c *call) tryPlain(attempt *placement.Attempt) (response *plainResponse, retryable bool) {
 	c.endpoint = attempt.Endpoint.ID
+	c.excluded[c.endpoint] = true
 	c.dispatches++
 	c.reachedEndpoint = true
 	d := &Dispatch{Team: c.team, Remaining: c.remaining(), ResumeAfter: c.r.ResumeAfter,
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -57,6 +57,9 @@
 		}
 		c.setWaitLimits(st)
 		plan := c.Fleet.PlacePrompt(c.service, c.r.Prompt, c.excluded)
+		if plan == nil && c.awaitFreeEndpoint() {
+			continue
+		}
 		if plan == nil {
 			c.detail = appendDetail(c.detail, "no engine accepts requests")
 			break
@@ -219,8 +222,8 @@
 
 // freeHandle frees a KV cache that will not be used. It works in the background, so that the request does not wait for it.
 func (c *call) freeHandle(h *Handle) {
-	if h == nil {
-		return
+	if h == nil || !c.Fleet.MayReceive(&h.Endpoint) {
+		return // a handle that isn't freed expires
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), time.Second)
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -221,7 +221,7 @@
 		}
 		byID[e.ID] = e
 		engines = append(engines, roles.EngineState{ID: e.ID, Domain: e.FailureDomain, Prefill: e.Role == catalog.Prefill, Reclaimable: e.Reclaimable,
-			Age: now.Sub(time.UnixMilli(e.StartedAtMS))})
+			Paused: !p.node.fleet.MayReceive(&e), Age: now.Sub(time.UnixMilli(e.StartedAtMS))})
 	}
 	for change := planner.Plan(engines, time.Now()); change != nil && ctx.Err() == nil; change = planner.Plan(engines, time.Now()) {
 		e := byID[change.ID]
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,9 +45,11 @@
 
 // Adapter holds the platform-specific parts of a node.
 type Adapter struct {
-	Store               Store
-	Backend             ingress.Backend
-	Upstream            *upstream.Client
+	Store    Store
+	Backend  ingress.Backend
+	Upstream *upstream.Client
+	// OnNotice registers a function that is called with what each response says about its endpoint. It is nil if responses say nothing.
+	OnNotice            func(func(*catalog.Endpoint, placement.Notice))
 	Kinds               Kinds
 	DecodeCatalog       func(raw []byte, revision uint64) (*catalog.Catalog, error)
 	DecodeEndpoint      func(apitypes.Object) (catalog.Endpoint, bool)
@@ -114,6 +116,9 @@
 	n.watchCaches = map[string]*discovery.WatchCache{a.Kinds.Config: discovery.NewWatchCache(), a.Kinds.Endpoints: discovery.NewWatchCache()}
 	n.fleet = placement.New(s.FailureDomain, placement.DefaultWeights)
 	n.fleet.Log = n.log
+	if a.OnNotice != nil {
+		a.OnNotice(n.fleet.RecordNotice)
+	}
 	n.meter = metering.NewMeter(s.UsageWindow, n.medianClock.Now)
 	n.registry = &discovery.Registry{Decode: a.DecodeEndpoint, Changed: n.onEndpointsChanged, SinceStoreRecovery: n.catalogHolder.SinceStoreOutage, Log: n.log}
 	quarantine, parts := retry.NewQuarantine(quarantineDuration), retry.NewPartQuarantine(bootclock.NowAsTime)
@@ -129,6 +134,7 @@
 	if err := t.ObserveExchange(n.link.OmittedReads, n.incompleteWindows.Load); err != nil {
 		return nil, err
 	}
+	n.fleet.OnNotice = requestMetrics.EndpointNotice
 	parts.SetProbeOwnership(n.link.OwnsProbe)
 	parts.OnChange(func(part retry.Part, blocked bool, crashes int) {
 		requestMetrics.PartChanged(blocked)
--- a/internal/node/warmup.go
+++ b/internal/node/warmup.go
@@ -42,6 +42,9 @@
 		}
 	}
 	for _, e := range engines {
+		if !n.fleet.MayReceive(&e) {
+			continue
+		}
 		if n.isEngineQuerier(e.ID) && n.medianClock.Now().Sub(time.UnixMilli(e.StartedAtMS)) > minEngineAge {
 			n.queryCachedParts(ctx, &e)
 		}
--- a/internal/placement/attempt.go
+++ b/internal/placement/attempt.go
@@ -81,7 +81,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	old := plan.Decode.target
-	if current := f.endpoints[old.ID]; current == old && !old.Draining && !old.ejected(time.Now()) {
+	now := time.Now()
+	if current := f.endpoints[old.ID]; current == old && old.accepts(now) && !old.ejected(now) {
 		return true
 	}
 	s := f.services[old.Service]
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -51,6 +51,10 @@
 	workByPeer map[string]EndpointWork
 	// peerTotal is the sum of workByPeer.
 	peerTotal EndpointWork
+	// notices is what this incarnation of the endpoint has said about itself.
+	notices *notices
+	// listedDraining is set while the store lists the endpoint as draining. Draining is also set once it has announced that it leaves.
+	listedDraining bool
 	health
 }
 
@@ -95,6 +99,8 @@
 type Fleet struct {
 	// Log receives a line when an endpoint becomes unavailable or serves again. Set it before use.
 	Log zerolog.Logger
+	// OnNotice is called with the kind of each new notice. Set it before use. It must not call the fleet.
+	OnNotice func(kind string)
 
 	// domain is the failure domain of this VM.
 	domain  string
@@ -105,6 +111,8 @@
 	endpoints map[string]*endpoint
 	// ordered holds the endpoints sorted by ID, so that all VMs break ties in the same way.
 	ordered []*endpoint
+	// notices outlives the endpoints, because a store that was unavailable may list an endpoint again.
+	notices map[incarnation]*notices
 	// endpointIDsByPeer holds the IDs of the endpoints at which each other VM has work.
 	endpointIDsByPeer map[string][]string
 	// unsentPrefixes are the prompts sent since the last CollectWork.
@@ -114,7 +122,7 @@
 // New returns a fleet without endpoints for a VM in the given failure domain.
 func New(domain string, w Weights) *Fleet {
 	return &Fleet{domain: domain, weights: w, services: make(map[string]*serviceState), endpoints: make(map[string]*endpoint),
-		endpointIDsByPeer: make(map[string][]string)}
+		endpointIDsByPeer: make(map[string][]string), notices: make(map[incarnation]*notices), OnNotice: func(string) {}}
 }
 
 // SetServices adds services and replaces the engine configuration of existing ones.
@@ -138,13 +146,17 @@
 	present := make(map[string]bool, len(list))
 	for _, e := range list {
 		present[e.ID] = true
+		announced, listedDraining := f.noticesOf(&e), e.Draining
+		e.Draining = e.Draining || !announced.leavingSince.IsZero()
 		old := f.endpoints[e.ID]
 		if old == nil || old.StartedAtMS != e.StartedAtMS || old.Address != e.Address {
-			f.endpoints[e.ID] = &endpoint{Endpoint: e, cache: newCacheIndex(f.cacheTokens(e.Service)), workByPeer: make(map[string]EndpointWork)}
+			f.endpoints[e.ID] = &endpoint{Endpoint: e, cache: newCacheIndex(f.cacheTokens(e.Service)), workByPeer: make(map[string]EndpointWork),
+				notices: announced, listedDraining: listedDraining}
 			continue
 		}
-		old.Endpoint = e
+		old.Endpoint, old.listedDraining = e, listedDraining
 	}
+	f.pruneNotices()
 	for id, e := range f.endpoints {
 		if !present[id] {
 			gone = append(gone, e.Address)
--- a/internal/placement/select.go
+++ b/internal/placement/select.go
@@ -109,13 +109,13 @@
 }
 
 // eligibleEngines returns the engines of a service that accept work, by role. Endpoints without a role count as decode engines.
-// Ejected engines are included only if no other decode engine is left.
+// Ejected engines are included only if no other decode engine is left; those that leave or pause never are.
 func (f *Fleet) eligibleEngines(service, model string, exclude map[string]bool) (prefillEngines, decodeEngines []*endpoint) {
 	now := time.Now()
 	for _, healthyOnly := range []bool{true, false} {
 		prefillEngines, decodeEngines = nil, nil
 		for _, e := range f.ordered {
-			if e.Service != service || e.Draining || exclude[e.ID] || !e.HasModel(model) || healthyOnly && e.ejected(now) {
+			if e.Service != service || !e.acceptsMore(now) || exclude[e.ID] || !e.HasModel(model) || healthyOnly && e.ejected(now) {
 				continue
 			}
 			if e.Role == catalog.Prefill {
@@ -137,7 +137,7 @@
 	defer f.mu.Unlock()
 	now := time.Now()
 	for _, e := range f.ordered {
-		if e.Service == service && e.ID != id && e.Role != catalog.Prefill && !e.Draining && !exclude[e.ID] && e.HasModel(model) && !e.ejected(now) {
+		if e.Service == service && e.ID != id && e.Role != catalog.Prefill && e.accepts(now) && !exclude[e.ID] && e.HasModel(model) && !e.ejected(now) {
 			return true
 		}
 	}
--- a/internal/roles/role_share.go
+++ b/internal/roles/role_share.go
@@ -36,6 +36,8 @@
 	Domain      string
 	Prefill     bool
 	Reclaimable bool
+	// Paused is set for an engine that has asked for a pause. It counts as an engine but gets no order.
+	Paused bool
 	// Age is the time since the engine started.
 	Age time.Duration
 }
@@ -102,6 +104,9 @@
 			continue
 		}
 		countByDomain[e.Domain]++
+		if e.Paused {
+			continue
+		}
 		if o, ok := p.ordered[e.ID]; (urgent || e.Age < maxRebalanceAge) && (!ok || now.Sub(o.orderedAt) >= orderRetryInterval) {
 			candidates = append(candidates, e)
 		}
--- a/internal/telemetry/requests.go
+++ b/internal/telemetry/requests.go
@@ -13,6 +13,8 @@
 	retried     metric.Int64Counter
 	partRefused metric.Int64Counter
 	partBlocked metric.Int64Counter
+	notices     metric.Int64Counter
+	waited      metric.Int64Counter
 	duration    metric.Float64Histogram
 	firstAnswer metric.Float64Histogram
 }
@@ -48,6 +50,8 @@
 		retried:     b.counter("request_retries", "Retries on another endpoint, by service."),
 		partRefused: b.counter("prompt_part_refused", "Requests refused because a part of their prompt crashes engines, by service."),
 		partBlocked: b.counter("prompt_part_changes", "Prompt parts that were blocked or released, by change."),
+		notices:     b.counter("endpoint_notices", "What endpoints said about themselves in responses, by kind: leaving, pause, invalid_pause."),
+		waited:      b.counter("endpoint_pause_waits", "Requests that no endpoint could take because of pauses, by service and by what became of them: waited or refused."),
 		duration:    b.secondsHistogram("request_duration", "Time from the arrival of a request to its end."),
 		firstAnswer: b.secondsHistogram("request_first_answer", "Time from the arrival of a request to the first part of its response."),
 	}
@@ -83,3 +87,17 @@
 	}
 	m.partBlocked.Add(context.Background(), 1, labels("change", change))
 }
+
+// EndpointNotice counts what an endpoint said about itself.
+func (m *RequestMetrics) EndpointNotice(kind string) {
+	m.notices.Add(context.Background(), 1, labels("kind", kind))
+}
+
+// Paused counts a request that no endpoint could take because of pauses: it waited for the end of one, or was refused.
+func (m *RequestMetrics) Paused(service string, waited bool) {
+	result := "refused"
+	if waited {
+		result = "waited"
+	}
+	m.waited.Add(context.Background(), 1, labels("service", service, "result", result))
+}
--- a/internal/vmlink/link.go
+++ b/internal/vmlink/link.go
@@ -262,6 +262,9 @@
 		Draining: l.draining, DutyToken: l.dutyToken, Work: encodeWork(work), Reads: EncodeReads(reads), Demand: l.Fleet.MeasureDemand(),
 		Unreachable: encodeUnreachable(l.Fleet.UnreachableEndpoints()), ConfirmedMS: -1}
 	msg.encodeParts(parts)
+	for _, e := range l.Fleet.LeavingEndpoints() {
+		msg.Leaving = append(msg.Leaving, LeavingEndpoint(e))
+	}
 	for fingerprint := range l.Quarantine.Entries() {
 		msg.Quarantined = append(msg.Quarantined, fingerprint)
 	}
@@ -340,6 +343,9 @@
 			l.Quarantine.Add(fingerprint, time.Minute)
 		}
 	}
+	for _, e := range msg.Leaving {
+		l.Fleet.RecordPeerLeaving(e.ID, e.StartedAtMS)
+	}
 	l.Parts.MergeReport(msg.decodeParts())
 	l.handleConfirmation(ctx, &msg)
 }
--- a/internal/vmlink/message.go
+++ b/internal/vmlink/message.go
@@ -49,10 +49,18 @@
 	PartCrashes []PartCrash `cbor:"21,keyasint,omitempty"`
 	PartProofs  []PartProof `cbor:"22,keyasint,omitempty"`
 	PartBlocks  []PartBlock `cbor:"23,keyasint,omitempty"`
+	// Leaving holds the endpoints that told the sender that they leave, as long as the store lists them as ready.
+	Leaving []LeavingEndpoint `cbor:"24,keyasint,omitempty"`
 	// Demand is the sender's demand for prompt processing by service, in tokens per second.
 	Demand map[string]float64 `cbor:"17,keyasint,omitempty"`
 }
 
+// LeavingEndpoint names one start of an endpoint that leaves.
+type LeavingEndpoint struct {
+	ID          string `cbor:"1,keyasint"`
+	StartedAtMS int64  `cbor:"2,keyasint"`
+}
+
 // EndpointWork is the unfinished work of a VM at one endpoint: the prompt tokens not yet processed and the requests running.
 type EndpointWork struct {
 	Unread  int `cbor:"1,keyasint,omitempty"`
