--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -12,8 +13,9 @@
 	maxResponseBytes = 16 << 20
 	// maxBufferedBytes bounds the responses that a VM buffers at the same time.
 	maxBufferedBytes = 64 << 20
-	// responseBuffer is the size in bytes of one read of a buffered response.
-	responseBuffer = 4096
+	// minReadBytes is the initial size of the buffer of a response, which doubles when it is full; maxReadBytes bounds one read.
+	minReadBytes = 4 << 10
+	maxReadBytes = 256 << 10
 	// maxDrainBytes and maxDrainTime bound what is read of the response of an endpoint that did not run the request, so that its
 	// connection can be reused.
 	maxDrainBytes = 64 << 10
@@ -32,15 +34,17 @@
 // readBody reads a complete response. It fails if the response exceeds maxResponseBytes, or if this VM would buffer more than
 // maxBufferedBytes: a part of a response must not be sent as a complete one.
 func (c *call) readBody(r io.Reader) ([]byte, error) {
-	var body []byte
-	buf := make([]byte, responseBuffer)
+	body := make([]byte, 0, minReadBytes)
 	for {
-		n, err := r.Read(buf)
+		if len(body) == cap(body) {
+			body = slices.Grow(body, len(body))
+		}
+		n, err := r.Read(body[len(body):min(cap(body), len(body)+maxReadBytes)])
 		if n > 0 {
 			if len(body)+n > maxResponseBytes || !c.reserveBuffer(n) {
 				return nil, errResponseTooLarge
 			}
-			body = append(body, buf[:n]...)
+			body = body[:len(body)+n]
 		}
 		if err == io.EOF {
 			return body, nil
