The product's own interface honours the pause that an endpoint asks for

An engine or service of the product's own interface that refused a request with 503 and Retry-After got the next request at once, and its refusals counted towards its ejection. The balancer gives a pausing endpoint nothing until the end of the pause or a new instance, doesn't count the refusal as a failure, and tells callers when the first endpoint is free if all pause. The product's own protocol has no announcement of a leaving endpoint: its controllers drain endpoints by order.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -65,6 +65,8 @@
 type Outcome struct {
 	// Failed is true when the endpoint refused or failed the request or broke off its response.
 	Failed bool
+	// Pause is how long the endpoint wants nothing from this gateway. A refusal with a pause is no failure.
+	Pause time.Duration
 	// TimeToFirstToken is the time from the dispatch to the first token; 0 when there was none.
 	TimeToFirstToken time.Duration
 	OutputTokens     int
--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -217,6 +218,15 @@
 		b.pendingDeltas[c.state.Name] = delta
 	}
 	c.state.recordResponseTime(o)
+	if o.Pause > 0 {
+		if until := now.Add(o.Pause); until.After(c.state.pausedUntil) {
+			c.state.pausedUntil = until
+		}
+		if c.probe {
+			c.state.ejection.probing = false
+		}
+		return
+	}
 	if c.state.ejection.recordOutcome(c.state.pool, o.Failed, c.probe, now) && b.onEject != nil {
 		b.onEject(c.state.pool.name)
 	}
@@ -225,15 +235,21 @@
 // refusalError returns the error when no endpoint can take the request: Overloaded when an endpoint could serve it but is full, otherwise
 // Unavailable.
 func (b *Balancer) refusalError(p *pool, r *Request, now time.Time) error {
+	pause, found := time.Duration(0), false
 	for _, s := range p.members {
 		if s.serves(r) && !s.ejection.excluded(now) {
-			e := apierror.New(apierror.Overloaded, "retry after the stated time; if it persists, the pool needs more endpoints",
-				"all endpoints of pool %s are at their limit of slots or memory", r.Pool)
-			e.RetryAfterSeconds = 1
-			return e
+			if left := s.pausedUntil.Sub(now); !found || left < pause {
+				pause, found = left, true
+			}
 		}
 	}
-	return unavailableError(r.Pool)
+	if !found {
+		return unavailableError(r.Pool)
+	}
+	e := apierror.New(apierror.Overloaded, "retry after the stated time; if it persists, the pool needs more endpoints",
+		"all endpoints of pool %s are at their limit of slots or memory, or asked for a pause", r.Pool)
+	e.RetryAfterSeconds = max(1, int(math.Ceil(pause.Seconds())))
+	return e
 }
 
 func unavailableError(pool string) error {
--- a/internal/balancer/eject.go
+++ b/internal/balancer/eject.go
@@ -105,6 +105,7 @@
 		case !s.serves(r):
 		case !s.ejection.ejected:
 			return nil, false
+		case now.Before(s.pausedUntil):
 		case !s.ejection.probing && !s.full(r, now) && (earliest == nil || s.ejection.ejectedUntil.Before(earliest.ejection.ejectedUntil)):
 			earliest = s
 		}
--- a/internal/balancer/state.go
+++ b/internal/balancer/state.go
@@ -50,6 +50,8 @@
 	ownPrefillTokens float64
 	responseSeconds  float64 // moving average of the time to the first byte
 	ejection         ejection
+	// pausedUntil is the end of the pause that the endpoint asked this gateway for.
+	pausedUntil time.Time
 	// suspects is the number of this gateway's suspects in progress by fingerprint.
 	suspects map[uint64]int
 	cache    cacheState
@@ -75,7 +77,7 @@
 	}
 	if e.Load.Instance != s.Load.Instance {
 		b.index.reset(s)
-		s.recentWork, s.recentRequests, s.recentKVBlocks = nil, 0, 0
+		s.recentWork, s.recentRequests, s.recentKVBlocks, s.pausedUntil = nil, 0, 0, time.Time{}
 	}
 	s.Endpoint = e
 	s.replay()
@@ -309,7 +311,7 @@
 	if r.isolation != isolationNone && !s.meetsIsolation(r) {
 		return false
 	}
-	return !s.ejection.excluded(now) && s.serves(r) && !s.full(r, now)
+	return !s.ejection.excluded(now) && !now.Before(s.pausedUntil) && s.serves(r) && !s.full(r, now)
 }
 
 // full reports whether the endpoint lacks a slot or KV memory for the request, or its prefill queue is too long.
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -19,6 +19,7 @@
 
 	"crocusglade.example/crocusglade/internal/apitypes"
 	"crocusglade.example/crocusglade/internal/auth"
+	"crocusglade.example/crocusglade/internal/retryafter"
 )
 
 // DefaultDialTimeout bounds the time to open a connection when Options has no DialContext.
@@ -68,7 +69,9 @@
 	// Status and Body hold the endpoint's response when Reason is Refused. Body is truncated to 8 KiB.
 	Status int
 	Body   []byte
-	Err    error
+	// Pause is how long the endpoint wants nothing from this process, when it refused with 503 and said so.
+	Pause time.Duration
+	Err   error
 }
 
 // Error returns the endpoint, the operation and the cause in one line.
@@ -85,6 +88,17 @@
 // SuggestsCrash reports whether the endpoint may have crashed: the connection broke after the request was sent.
 func (e *Error) SuggestsCrash() bool { return e.MaybeSent && e.Reason == Interrupted }
 
+// PauseOf returns the pause that the endpoint asked for in a response or an error.
+func PauseOf(response *ServiceAnswer, err error) time.Duration {
+	if e := AsError(err); e != nil {
+		return e.Pause
+	}
+	if response == nil {
+		return 0
+	}
+	return pauseOf(response.Status, response.Header)
+}
+
 // AsError returns the *Error in err's chain, or nil.
 func AsError(err error) *Error {
 	var e *Error
@@ -214,7 +228,16 @@
 func statusError(resp *http.Response, addr, op string) *Error {
 	defer resp.Body.Close()
 	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBodyBytes))
-	return &Error{Addr: addr, Op: op, Reason: Refused, MaybeSent: true, Status: resp.StatusCode, Body: body}
+	return &Error{Addr: addr, Op: op, Reason: Refused, MaybeSent: true, Status: resp.StatusCode, Body: body, Pause: pauseOf(resp.StatusCode, resp.Header)}
+}
+
+// pauseOf returns the pause that a response asks for, 0 if it asks for none or for an invalid time.
+func pauseOf(status int, h http.Header) time.Duration {
+	if status != http.StatusServiceUnavailable {
+		return 0
+	}
+	d, _ := retryafter.Parse(h.Get(retryafter.Header))
+	return d
 }
 
 // watchdog cancels a context with errStalled unless it is reset in time.
--- a/internal/endpoint/endpoint_test.go
+++ b/internal/endpoint/endpoint_test.go
@@ -353,3 +353,21 @@
 		t.Errorf("repeated refusal, streamed: %v", e)
 	}
 }
+
+// Guards against missing the pause that an endpoint asks for when it refuses a request.
+func TestRefusalCarriesPause(t *testing.T) {
+	addr := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		w.Header().Set("Retry-After", "1.5")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	c := newClient(t)
+	_, err := c.RunUnary(t.Context(), addr, endpoint.DataRequest{Path: endpoint.ChatPath, RequestID: "1", Body: []byte("{}")})
+	if got := endpoint.PauseOf(nil, err); got != 1500*time.Millisecond {
+		t.Errorf("engine: pause of %v", got)
+	}
+	response, err := c.CallService(t.Context(), addr, endpoint.ServiceCall{Method: http.MethodGet, URI: "/x", RequestID: "2"})
+	if got := endpoint.PauseOf(response, err); got != 1500*time.Millisecond {
+		t.Errorf("service: pause of %v, %v", got, err)
+	}
+}
--- a/internal/gateway/at_most_once.go
+++ b/internal/gateway/at_most_once.go
@@ -132,7 +132,7 @@
 	request := s.endpointRequest()
 	request.SendBefore = sendBefore
 	response, err := g.opts.Endpoints.CallService(ctx, choice.Endpoint.Addr, request)
-	choice.Done(balancer.Outcome{Failed: endpointFailed(err)})
+	choice.Done(balancer.Outcome{Failed: endpointFailed(err), Pause: endpoint.PauseOf(response, err)})
 	e := endpoint.AsError(err)
 	switch {
 	case err == nil && g.refusedWithoutExecution(ctx, c, choice, response.Status):
--- a/internal/gateway/non_streaming.go
+++ b/internal/gateway/non_streaming.go
@@ -55,7 +55,7 @@
 	result, err := g.opts.Endpoints.RunUnary(ctx, choice.Endpoint.Addr, m.engineRequest(0, ""))
 	if err != nil {
 		g.handleEngineFailure(ctx, m.call, choice, err)
-		choice.Done(balancer.Outcome{Failed: ctx.Err() == nil && endpointFailed(err)})
+		choice.Done(balancer.Outcome{Failed: ctx.Err() == nil && endpointFailed(err), Pause: endpoint.PauseOf(nil, err)})
 		return nil, err
 	}
 	m.firstByteAt = time.Now()
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -195,7 +195,8 @@
 			break
 		}
 		response, err := g.opts.Endpoints.CallService(ctx, choice.Endpoint.Addr, s.endpointRequest())
-		choice.Done(balancer.Outcome{Failed: ctx.Err() == nil && (endpointFailed(err) || response != nil && retryableServiceStatus(response.Status))})
+		choice.Done(balancer.Outcome{Failed: ctx.Err() == nil && (endpointFailed(err) || response != nil && retryableServiceStatus(response.Status)),
+			Pause: endpoint.PauseOf(response, err)})
 		if err == nil && !(retryableServiceStatus(response.Status) && try+1 < g.opts.MaxAttempts && g.opts.Budget.AllowRetry(s.pool.Name)) {
 			g.completeServiceCall(ctx, s, a, response)
 			return
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -155,7 +155,7 @@
 	if err != nil {
 		s.g.handleEngineFailure(ctx, s.m.call, choice, err)
 	}
-	choice.Done(balancer.Outcome{Failed: ctx.Err() == nil && endpointFailed(err), TimeToFirstToken: firstTokenTime, OutputTokens: s.tokens - tokensBefore})
+	choice.Done(balancer.Outcome{Failed: ctx.Err() == nil && endpointFailed(err), Pause: endpoint.PauseOf(nil, err), TimeToFirstToken: firstTokenTime, OutputTokens: s.tokens - tokensBefore})
 	return s.unregisterAttempt(ctx, s.current, err), err
 }
 
