gateway: messages that crash engines are quarantined, whatever else a chat holds

The product's own interface had the cause of the incident too: its quarantine knows whole requests, so chats that share a message, no two alike, crash up to two engines each. All messages but the last count as parts now, with the same rules as on the users' platform; a gateway refuses a chat with a blocked message as quarantined, with the time of the next probe. TestMessageThatCrashesEnginesIsQuarantined fails without the record of crashes.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -14,6 +14,7 @@
 	"crocusglade.example/crocusglade/internal/apitypes"
 	"crocusglade.example/crocusglade/internal/auth"
 	"crocusglade.example/crocusglade/internal/balancer"
+	"crocusglade.example/crocusglade/internal/bootclock"
 	"crocusglade.example/crocusglade/internal/burn"
 	"crocusglade.example/crocusglade/internal/claim"
 	"crocusglade.example/crocusglade/internal/config"
@@ -96,6 +97,16 @@
 	return append(components, g.callerServer(s, callerTLS)), nil
 }
 
+// newPartQuarantine returns a quarantine of messages that logs what it blocks.
+func (g *gatewayNode) newPartQuarantine() *retry.PartQuarantine {
+	parts := retry.NewPartQuarantine(bootclock.NowAsTime)
+	parts.OnChange(func(part retry.Part, blocked bool, crashes int) {
+		g.telemetry.Log.Warn().Str("pool", part.Service).Str("part", part.ID).Bool("blocked", blocked).Int("crashes", crashes).
+			Msg("message that crashes engines")
+	})
+	return parts
+}
+
 // newGatewayNode creates the parts of a gateway and connects them.
 func newGatewayNode(base *node, s *settings.Gateway) *gatewayNode {
 	g := &gatewayNode{node: base, admission: admission.New(), balancer: balancer.New(randomSeed(base.incarnation)),
@@ -121,7 +132,7 @@
 	claims := claim.NewStore(claim.Options{Platform: g.platform, Log: g.telemetry.Log, OnShardWrite: g.recordClaimGroup})
 	g.gateway = gateway.New(gateway.Options{
 		VM: s.VMName, Incarnation: g.incarnation, Config: g.configStore, Keyring: g.keyring, Admission: g.admission, Balancer: g.balancer,
-		Budget: retry.NewBudget(retryBudgetRatio), Quarantine: g.quarantine, Claims: claims, Usage: g.ledger, Discovery: g.directory,
+		Budget: retry.NewBudget(retryBudgetRatio), Quarantine: g.quarantine, Parts: g.newPartQuarantine(), Claims: claims, Usage: g.ledger, Discovery: g.directory,
 		Answers: &answerFetcher{node: base}, Deduplicator: copier, Endpoints: endpoint.New(g.endpointOptions()),
 		IsPartitioned:   func() bool { return !g.readiness.Ready() || !g.mesh.HasPlatformOrMajority() },
 		OnEndpointCrash: g.recordEndpointDeath, OnRequestFinished: g.recordRequest,
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -16,6 +16,7 @@
 	"crocusglade.example/crocusglade/internal/apierror"
 	"crocusglade.example/crocusglade/internal/apitypes"
 	"crocusglade.example/crocusglade/internal/config"
+	"crocusglade.example/crocusglade/internal/retry"
 )
 
 // deadlineHeader holds the time in milliseconds, counted from the request's arrival, by which the caller needs the first token.
@@ -44,6 +45,8 @@
 	deadline    time.Time
 	body        []byte
 	fingerprint uint64
+	// sharedParts are the messages of a chat that other requests may share: all but the last.
+	sharedParts []retry.Part
 
 	attempts    int
 	usage       apitypes.Usage
--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -8,6 +8,7 @@
 	"crocusglade.example/crocusglade/internal/apierror"
 	"crocusglade.example/crocusglade/internal/balancer"
 	"crocusglade.example/crocusglade/internal/endpoint"
+	"crocusglade.example/crocusglade/internal/retry"
 )
 
 // endpointProbeTimeout limits requests that query the state of an endpoint, such as whether it crashed.
@@ -22,8 +23,13 @@
 	return err != nil
 }
 
+// maxSuspectTokens is the largest number of tokens that an engine may have sent for a request that crashed it because of a message: it
+// crashes when it begins the answer.
+const maxSuspectTokens = 1
+
 // handleEngineFailure cleans up after a failed attempt at an engine: it records a crash, or cancels the request, which may still run.
-func (g *Gateway) handleEngineFailure(ctx context.Context, c *call, choice *balancer.Choice, err error) {
+// tokens is the number of tokens that the engine had sent.
+func (g *Gateway) handleEngineFailure(ctx context.Context, c *call, choice *balancer.Choice, tokens int, err error) {
 	e := endpoint.AsError(err)
 	if e == nil || !e.MaybeSent {
 		return
@@ -31,6 +37,10 @@
 	background, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
 	defer cancel()
 	if e.SuggestsCrash() && g.hasCrashed(background, choice, c.id) {
+		if tokens <= maxSuspectTokens {
+			// The time of the crash tells the starts of an engine apart, since its start time isn't known here.
+			g.opts.Parts.RecordCrash(c.sharedParts, retry.CrashKey(choice.Endpoint.Name, 0))
+		}
 		g.recordCrash(c, choice.Endpoint.Name)
 		return
 	}
@@ -74,6 +84,9 @@
 	if g.opts.Quarantine.Blocked(c.fingerprint) {
 		return quarantinedError().WithExecution(execution)
 	}
+	if g.opts.Parts.Blocked(c.sharedParts) && !begun {
+		return quarantinedPartError().WithExecution(execution)
+	}
 	e := endpoint.AsError(last)
 	switch {
 	case begun:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,8 +103,10 @@
 	Balancer   *balancer.Balancer
 	Budget     *retry.Budget
 	Quarantine *retry.Quarantine
-	Claims     claim.ClaimStore
-	Usage      usage.Recorder
+	// Parts blocks requests that share a message which crashes engines. Optional; the default has no entries.
+	Parts  *retry.PartQuarantine
+	Claims claim.ClaimStore
+	Usage  usage.Recorder
 	// Deduplicator prevents usage of an answer from being counted twice. Optional; without it every answer is counted.
 	Deduplicator AnswerDeduplicator
 	Discovery    Discovery
@@ -183,6 +185,9 @@
 			return nil
 		}
 	}
+	if o.Parts == nil {
+		o.Parts = retry.NewPartQuarantine(time.Now)
+	}
 	if o.OnEndpointCrash == nil {
 		o.OnEndpointCrash = func(uint64, string) {}
 	}
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"math"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -75,9 +77,29 @@
 	if g.opts.Quarantine.Blocked(c.fingerprint) {
 		return nil, quarantinedError()
 	}
+	if retryAfter, ok := g.opts.Parts.Admit(c.sharedParts); !ok {
+		e := quarantinedPartError()
+		e.RetryAfterSeconds = int(math.Ceil(retryAfter.Seconds()))
+		return nil, e
+	}
 	return m, nil
 }
 
+func quarantinedPartError() *apierror.Error {
+	return apierror.New(apierror.Quarantined, "leave out the message that earlier requests shared, or retry after the given time",
+		"a message before the last one crashed the engines that answered it")
+}
+
+// messageParts returns the messages of a chat but the last, which other requests may share.
+func messageParts(pool string, messages []endpoint.Message) []retry.Part {
+	var parts []retry.Part
+	for i := range max(len(messages)-1, 0) {
+		sum := retry.Fingerprint(messages[i].Role, "", messages[i].Content)
+		parts = append(parts, retry.NewPart(pool, strconv.FormatUint(sum, 16)))
+	}
+	return parts
+}
+
 func quarantinedError() *apierror.Error {
 	return apierror.New(apierror.Quarantined, "change the request, or wait until the quarantine ends",
 		"this request crashed endpoints that ran it")
@@ -123,6 +145,7 @@
 	if err := m.authorizeModel(model, version); err != nil {
 		return err
 	}
+	m.sharedParts = messageParts(m.pool.Name, body.Messages)
 	m.stream = body.Stream
 	m.placement.Pool = m.pool.Name
 	m.placement.Adapter = body.Adapter
--- a/internal/gateway/model_test.go
+++ b/internal/gateway/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -248,6 +249,39 @@
 	}
 }
 
+// Guards against requests that share a message, no two alike, and crash one engine after the other.
+func TestMessageThatCrashesEnginesIsQuarantined(t *testing.T) {
+	var engines []standin.EngineConfig
+	for range 16 {
+		engines = append(engines, standin.EngineConfig{Faults: standin.EngineFaults{CrashMarker: "knot"}})
+	}
+	h := newHarness(t, engines...)
+	addr := h.startGateway("vm-1", func(o *Options) { o.Budget = retry.NewBudget(10) })
+	chat := func(system string, n int) reply {
+		return h.call("POST", addr, endpoint.ChatPath, "rope", fmt.Sprintf(
+			`{"model":"m","messages":[{"role":"system","content":"common"},{"role":"system","content":%q},{"role":"user","content":"%d"}],"max_tokens":8,"stream":true}`, system, n))
+	}
+	for n := range 12 { // the span of the first crashes and the settle time pass
+		chat("knot", n)
+		if r := chat("sound", n); r.status != 200 {
+			t.Fatalf("a request without the message got %d %s", r.status, r.body)
+		}
+		time.Sleep(60 * time.Millisecond)
+	}
+	before := len(h.crashedEndpoints)
+	for n := range 5 {
+		if r := chat("knot", 100+n); r.err.Kind != apierror.Quarantined || r.err.RetryAfterSeconds == 0 {
+			t.Errorf("got %d %s", r.status, r.body)
+		}
+	}
+	if r := chat("sound", 200); r.status != 200 {
+		t.Errorf("a request without the message got %d %s", r.status, r.body)
+	}
+	if after := len(h.crashedEndpoints); after != before || after == len(engines) {
+		t.Errorf("%d engines crashed, %d of them after the message was blocked", after, after-before)
+	}
+}
+
 // Guards against retries that put more load on a failing pool than the retry budget allows.
 func TestBudgetBoundsRetries(t *testing.T) {
 	faults := standin.EngineFaults{MismatchedRequestID: true}
--- a/internal/gateway/non_streaming.go
+++ b/internal/gateway/non_streaming.go
@@ -29,6 +29,7 @@
 		result, err := g.attemptNonStreaming(ctx, m, choice)
 		if err == nil {
 			g.opts.Quarantine.Clear(m.fingerprint)
+			g.opts.Parts.RecordAnswer(m.sharedParts)
 			g.recordUsage(ctx, m.call, result.Usage)
 			a.completeResponse(http.StatusOK, http.Header{"Content-Type": {jsonType}}, result.Body)
 			return
@@ -54,7 +55,7 @@
 func (g *Gateway) attemptNonStreaming(ctx context.Context, m *modelCall, choice *balancer.Choice) (*endpoint.Answer, error) {
 	result, err := g.opts.Endpoints.RunUnary(ctx, choice.Endpoint.Addr, m.engineRequest(0, ""))
 	if err != nil {
-		g.handleEngineFailure(ctx, m.call, choice, err)
+		g.handleEngineFailure(ctx, m.call, choice, 0, err)
 		choice.Done(balancer.Outcome{Failed: ctx.Err() == nil && endpointFailed(err), Pause: endpoint.PauseOf(nil, err)})
 		return nil, err
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -108,7 +108,7 @@
 // mayRetry reports whether another attempt is allowed. A retry after an attempt that sent nothing does not use the budget, because
 // that attempt put no load on the pool.
 func (g *Gateway) mayRetry(c *call, last error) bool {
-	if g.opts.Quarantine.Blocked(c.fingerprint) {
+	if g.opts.Quarantine.Blocked(c.fingerprint) || g.opts.Parts.Blocked(c.sharedParts) {
 		return false
 	}
 	if e := endpoint.AsError(last); e != nil && !e.MaybeSent {
@@ -153,7 +153,7 @@
 		err = nil
 	}
 	if err != nil {
-		s.g.handleEngineFailure(ctx, s.m.call, choice, err)
+		s.g.handleEngineFailure(ctx, s.m.call, choice, s.tokens-tokensBefore, err)
 	}
 	choice.Done(balancer.Outcome{Failed: ctx.Err() == nil && endpointFailed(err), Pause: endpoint.PauseOf(nil, err), TimeToFirstToken: firstTokenTime, OutputTokens: s.tokens - tokensBefore})
 	return s.unregisterAttempt(ctx, s.current, err), err
@@ -239,6 +239,7 @@
 // complete records usage and then writes the end marker, so that a crash after the caller has the end marker does not lose the usage.
 func (s *streamRun) complete(ctx context.Context) {
 	s.g.opts.Quarantine.Clear(s.m.fingerprint)
+	s.g.opts.Parts.RecordAnswer(s.m.sharedParts)
 	s.g.recordUsage(ctx, s.m.call, *s.usage)
 	s.a.write([]byte("data: [DONE]\n\n"))
 	s.a.completeStream()
