retry: crashes and blocks of prompt parts expire one by one, found by reading

Read with the diff: crashes of a part that is never answered counted for as long as another one followed within two minutes, so three crashes hours apart could add up; a block that expired ended without the line and the count; a request with two blocked parts could use up the probe of one and be refused for the other; one that became blocked during its prefill got 0.4 s as the time to return in place of the time of the probe; and each request reviewed all records, now at most one in 10 ms does. TestCrashesAndBlocksExpire and TestProbeWaitsForAllBlockedParts guard the first three.

--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -84,8 +84,8 @@
 	if g.opts.Quarantine.Blocked(c.fingerprint) {
 		return quarantinedError().WithExecution(execution)
 	}
-	if g.opts.Parts.Blocked(c.sharedParts) && !begun {
-		return quarantinedPartError().WithExecution(execution)
+	if retryAfter, blocked := g.opts.Parts.BlockedFor(c.sharedParts); blocked && !begun {
+		return quarantinedPartError(retryAfter).WithExecution(execution)
 	}
 	e := endpoint.AsError(last)
 	switch {
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -78,16 +78,16 @@
 		return nil, quarantinedError()
 	}
 	if retryAfter, ok := g.opts.Parts.Admit(c.sharedParts); !ok {
-		e := quarantinedPartError()
-		e.RetryAfterSeconds = int(math.Ceil(retryAfter.Seconds()))
-		return nil, e
+		return nil, quarantinedPartError(retryAfter)
 	}
 	return m, nil
 }
 
-func quarantinedPartError() *apierror.Error {
-	return apierror.New(apierror.Quarantined, "leave out the message that earlier requests shared, or retry after the given time",
+func quarantinedPartError(retryAfter time.Duration) *apierror.Error {
+	e := apierror.New(apierror.Quarantined, "leave out the message that earlier requests shared, or retry after the given time",
 		"a message before the last one crashed the engines that answered it")
+	e.RetryAfterSeconds = int(math.Ceil(retryAfter.Seconds()))
+	return e
 }
 
 // messageParts returns the messages of a chat but the last, which other requests may share.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -443,11 +443,14 @@
 // giveUp ends a request to which no endpoint responded. The error states whether an endpoint may have run the request.
 func (c *call) giveUp(reason string, retryAfter time.Duration) {
 	timedOut := c.remaining() <= 0
+	blockedFor, blocked := c.Parts.BlockedFor(c.sharedParts)
 	switch {
 	case c.mayHaveRun && timedOut:
 		c.refuse(apierror.New(apierror.TimedOut, "check whether the request took effect before you send it again", "%s", reason).WithExecution(apierror.ExecutionUnknown), 0)
 	case c.mayHaveRun:
 		c.refuse(apierror.New(apierror.OutcomeUnknown, "check whether the request took effect before you send it again", "%s", reason).WithExecution(apierror.ExecutionUnknown), 0)
+	case blocked:
+		c.refuse(errCrashingPart(), blockedFor)
 	case c.freeAfter > 0:
 		c.refuse(apierror.New(apierror.Unavailable, "retry after the given time, or use another address", "the endpoints asked for a pause"), c.freeAfter)
 	default:
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -117,7 +117,6 @@
 			return false, c.ctx.Err() == nil
 		}
 		if c.Parts.Blocked(c.sharedParts) { // blocked during the prefill
-			c.detail = appendDetail(c.detail, errCrashingPart().Message)
 			plan.Decode.Done(placement.Abandoned)
 			c.freeHandle(handle)
 			return false, false
--- a/internal/retry/part_quarantine.go
+++ b/internal/retry/part_quarantine.go
@@ -33,6 +33,8 @@
 	maxProbeDelay   = 4 * time.Minute
 	// blockMemory is how long after the last crash a part stays blocked if no request with it arrives to probe it.
 	blockMemory = 15 * time.Minute
+	// reviewInterval is the least time between two reviews of all records, which each request would make otherwise.
+	reviewInterval = 10 * time.Millisecond
 	// reportTime is how long a VM reports its own crashes and proofs to the others. Each status message repeats them.
 	reportTime = 5 * time.Second
 	// maxPartIDBytes bounds the IDs of parts, which status messages contain.
@@ -54,9 +56,10 @@
 	mu      sync.Mutex
 	records map[Part]*partRecord
 	// explained holds the crashes that a blocked part explains, with the time of the crash.
-	explained map[uint64]time.Time
-	ownsProbe func(Part) bool
-	onChange  func(part Part, blocked bool, crashes int)
+	explained  map[uint64]time.Time
+	reviewedAt time.Time
+	ownsProbe  func(Part) bool
+	onChange   func(part Part, blocked bool, crashes int)
 }
 
 // partRecord holds what is known of one prompt part.
@@ -128,26 +131,47 @@
 	now := q.now()
 	q.review(now)
 	for _, part := range parts {
-		r := q.blockedRecord(part)
-		switch {
-		case r == nil:
-		case now.Before(r.probeAt):
-			return r.probeAt.Sub(now), false
-		case !q.ownsProbe(part):
-			return firstProbeDelay, false
-		default:
+		if r := q.blockedRecord(part); r != nil && (now.Before(r.probeAt) || !q.ownsProbe(part)) {
+			retryAfter = max(retryAfter, r.untilProbe(now))
+		}
+	}
+	if retryAfter > 0 {
+		return retryAfter, false
+	}
+	for _, part := range parts {
+		if r := q.blockedRecord(part); r != nil {
 			q.scheduleProbe(r, now)
 		}
 	}
 	return 0, true
 }
 
+// untilProbe returns the time until the next probe of a blocked part, or firstProbeDelay if another VM sends it now.
+func (r *partRecord) untilProbe(now time.Time) time.Duration {
+	if left := r.probeAt.Sub(now); left > 0 {
+		return left
+	}
+	return firstProbeDelay
+}
+
 // Blocked reports whether one of the parts is blocked. Unlike Admit, it admits no probe.
 func (q *PartQuarantine) Blocked(parts []Part) bool {
+	_, blocked := q.BlockedFor(parts)
+	return blocked
+}
+
+// BlockedFor is like Blocked, and returns the time after which a caller may try again.
+func (q *PartQuarantine) BlockedFor(parts []Part) (retryAfter time.Duration, blocked bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.review(q.now())
-	return slices.ContainsFunc(parts, func(part Part) bool { return q.blockedRecord(part) != nil })
+	now := q.now()
+	q.review(now)
+	for _, part := range parts {
+		if r := q.blockedRecord(part); r != nil {
+			retryAfter, blocked = max(retryAfter, r.untilProbe(now)), true
+		}
+	}
+	return retryAfter, blocked
 }
 
 // RecordCrash records that an engine crashed while a request with these shared parts, in the order of the prompt, waited there for its
@@ -201,6 +225,7 @@
 			return
 		}
 	}
+	r.crashes = slices.DeleteFunc(r.crashes, func(known partCrash) bool { return q.now().Sub(known.at) > crashMemory })
 	if len(r.crashes) == maxCrashesPerPart {
 		r.crashes = r.crashes[1:]
 	}
@@ -241,9 +266,17 @@
 
 // review deletes expired records and blocks the candidates whose settle time has passed.
 func (q *PartQuarantine) review(now time.Time) {
+	if now.Sub(q.reviewedAt) < reviewInterval {
+		return
+	}
+	q.reviewedAt = now
 	for part, r := range q.records {
-		if r.expired(now) {
-			delete(q.records, part)
+		if !r.expired(now) {
+			continue
+		}
+		delete(q.records, part)
+		if r.blocked {
+			q.onChange(part, false, len(r.crashes))
 		}
 	}
 	for id, at := range q.explained {
--- a/internal/retry/part_quarantine_test.go
+++ b/internal/retry/part_quarantine_test.go
@@ -169,6 +169,57 @@
 	})
 }
 
+// Guards against old crashes that add up to a block over hours, and against a block that ends without notice or lasts for good when no
+// request probes it.
+func TestCrashesAndBlocksExpire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := NewPartQuarantine(time.Now)
+		changes := 0
+		q.OnChange(func(Part, bool, int) { changes++ })
+		for n := range 10 {
+			q.RecordCrash(parts("rare"), CrashKey(fmt.Sprint("e", n), 1))
+			time.Sleep(crashMemory * 2 / 3)
+		}
+		if q.Blocked(parts("rare")) {
+			t.Error("crashes further apart than crashMemory allows block a part")
+		}
+		for n := range crashesToBlock {
+			q.RecordCrash(parts("bad"), CrashKey(fmt.Sprint("f", n), 1))
+			time.Sleep(minCrashSpan)
+		}
+		time.Sleep(settleTime)
+		if _, blocked := q.BlockedFor(parts("bad")); !blocked || changes != 1 {
+			t.Fatalf("blocked %v after %d changes", blocked, changes)
+		}
+		time.Sleep(blockMemory)
+		if q.Blocked(parts("bad")) || changes != 2 {
+			t.Errorf("still blocked, or released without notice (%d changes)", changes)
+		}
+	})
+}
+
+// Guards against a probe that is used up by a request which another blocked part keeps from being sent.
+func TestProbeWaitsForAllBlockedParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := NewPartQuarantine(time.Now)
+		for _, id := range []string{"first", "second"} {
+			for n := range crashesToBlock {
+				q.RecordCrash(parts(id), CrashKey(fmt.Sprint(id, n), 1))
+				time.Sleep(minCrashSpan)
+			}
+			time.Sleep(settleTime)
+			q.Blocked(nil)
+		}
+		time.Sleep(firstProbeDelay - minCrashSpan)
+		if retryAfter, ok := q.Admit(parts("first", "second")); ok || retryAfter > minCrashSpan {
+			t.Fatalf("admitted %v, retry after %v", ok, retryAfter)
+		}
+		if _, ok := q.Admit(parts("first")); !ok {
+			t.Error("the probe of the first part was used up")
+		}
+	})
+}
+
 // Guards in random schedules, with sound parts from popular to rare and engines that also crash by themselves: the part that crashes
 // engines is blocked on all VMs within the bound, it reaches engines rarely afterwards, and sound parts aren't blocked.
 func TestOnlyCrashingPartIsBlockedInRandomSchedules(t *testing.T) {
