--- a/internal/roles/role_share_test.go
+++ b/internal/roles/role_share_test.go
@@ -62,3 +62,22 @@
 		}
 	}
 }
+
+// Guards against orders for an engine that has asked for a pause, and against planning as if it were gone.
+func TestPausedEngineCountsButGetsNoOrder(t *testing.T) {
+	list := testEngines(0, 6, time.Second)
+	for i := range list[:5] {
+		list[i].Paused = true
+	}
+	p, now := NewRoleSharePlanner(time.Second), time.Now()
+	if change := p.Plan(list, now); change == nil || change.ID != list[5].ID {
+		t.Fatalf("change %+v, want one of the engine without a pause", change)
+	}
+	if change := p.Plan(list, now); change != nil {
+		t.Errorf("change %+v of an engine that pauses", change)
+	}
+	list[0].Paused = false
+	if change := p.Plan(list, now); change == nil || change.ID != list[0].ID {
+		t.Errorf("change %+v after the pause, want one of %s", change, list[0].ID)
+	}
+}
