--- a/internal/retry/part_quarantine.go
+++ b/internal/retry/part_quarantine.go
@@ -264,7 +264,7 @@
 	}
 }
 
-// review deletes expired records and blocks the candidates whose settle time has passed.
+// review deletes expired records, and blocks the likeliest cause of crashes once its settle time has passed.
 func (q *PartQuarantine) review(now time.Time) {
 	if now.Sub(q.reviewedAt) < reviewInterval {
 		return
@@ -294,30 +294,32 @@
 }
 
 // likeliestCause returns the candidate to block next, or nil if there is none: of those that explain nearly as many crashes as any other,
-// the deepest in the prompt, and of these the one with the most crashes.
+// the deepest in the prompt, and of these the one with the most crashes. While its settle time lasts, no other candidate is blocked, since
+// it may explain their crashes.
 func (q *PartQuarantine) likeliestCause(now time.Time) (Part, *partRecord) {
 	most := 0
 	for _, r := range q.records {
-		if r.settled(now) {
+		if r.isCandidate() {
 			most = max(most, len(r.crashes))
 		}
 	}
 	part, best := Part{}, (*partRecord)(nil)
 	for key, r := range q.records {
-		if !r.settled(now) || float64(len(r.crashes)) < specificShare*float64(most) {
+		if !r.isCandidate() || float64(len(r.crashes)) < specificShare*float64(most) {
 			continue
 		}
 		if best == nil || cmp.Or(cmp.Compare(r.depth, best.depth), cmp.Compare(len(r.crashes), len(best.crashes)), cmp.Compare(part.ID, key.ID), cmp.Compare(part.Service, key.Service)) > 0 {
 			part, best = key, r
 		}
 	}
+	if best == nil || now.Sub(best.candidateSince) < settleTime {
+		return Part{}, nil
+	}
 	return part, best
 }
 
-// settled reports whether the part is a candidate whose settle time has passed.
-func (r *partRecord) settled(now time.Time) bool {
-	return !r.blocked && !r.candidateSince.IsZero() && now.Sub(r.candidateSince) >= settleTime
-}
+// isCandidate reports whether the part has enough crashes to be blocked.
+func (r *partRecord) isCandidate() bool { return !r.blocked && !r.candidateSince.IsZero() }
 
 // expired reports whether nothing about the part needs to be kept.
 func (r *partRecord) expired(now time.Time) bool {
--- a/internal/retry/part_quarantine_test.go
+++ b/internal/retry/part_quarantine_test.go
@@ -169,6 +169,16 @@
 	})
 }
 
+// Guards against blocking a part that was at the first crashes of another one, whose settle time ends a moment later.
+func TestUnsettledCauseExplainsCrashes(t *testing.T) {
+	const seed = 0x568 // found by TestOnlyCrashingPartIsBlockedInRandomSchedules
+	synctest.Test(t, func(t *testing.T) {
+		if failure := playCrashingPart(seed); failure != "" {
+			t.Error(failure)
+		}
+	})
+}
+
 // Guards against old crashes that add up to a block over hours, and against a block that ends without notice or lasts for good when no
 // request probes it.
 func TestCrashesAndBlocksExpire(t *testing.T) {
