Review case 3: a stopping node doesn't wait for a request that it reads

A request whose body arrives over 1.55 s, begun 2.6 s after SIGTERM, is passed on to a replica and cut 0.2 s later, 4.4 s after SIGTERM of 8 s.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -26,6 +26,7 @@
 type caseFunc func(d *deployment, trouble bool) (broken []string, err error)
 
 var cases = map[string]caseFunc{
+	"slow-upload":   playSlowUpload,
 	"false-refusal": playFalseRefusal,
 	"odd-entry":     playOddEntry,
 }
