--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -27,6 +27,7 @@
 
 var cases = map[string]caseFunc{
 	"slow-upload":   playSlowUpload,
+	"two-stops":     playTwoStops,
 	"false-refusal": playFalseRefusal,
 	"odd-entry":     playOddEntry,
 }
