--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -29,6 +29,7 @@
 	"slow-upload":   playSlowUpload,
 	"two-stops":     playTwoStops,
 	"false-refusal": playFalseRefusal,
+	"short-stream":  playShortStream,
 	"odd-entry":     playOddEntry,
 }
 
