ingress: an endpoint's 503 after a run doesn't reach callers as "not run"

Cause: a response without X-Not-Executed was passed on whatever its status, while callers take 408, 421, 429 and 503 for the promise that the request has not run and never will. The response bears the endpoint's signature and the endpoint ran it once, so the VM neither made the 503 itself nor took the response for a refusal.

The adapter marks such responses (Answer.DeniesRun), and both request paths answer 502 in their place if the request may not be repeated. Requests that may be repeated still get the endpoint's response unchanged.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -79,6 +79,8 @@
 	NotRun bool
 	// Misdirected is true if NotRun is set because another endpoint is at the address, or because the endpoint has another role.
 	Misdirected bool
+	// DeniesRun is true if the status tells callers that the request has not run, which the endpoint doesn't state (NotRun is false).
+	DeniesRun bool
 	// Signed is true if the response carries the endpoint's signature and has an encoding that the caller asked for.
 	Signed bool
 	// EndsWithConnection is true if the response has neither a length nor chunks, so that its end may be that of a crashed endpoint.
--- a/internal/ingress/plain.go
+++ b/internal/ingress/plain.go
@@ -95,17 +95,32 @@
 	if !a.Signed && a.Status < http.StatusMultipleChoices {
 		return nil, c.recordFailure(attempt, &upstream.SendError{MaySent: true, Err: upstream.ErrMalformed})
 	}
-	response = &plainResponse{status: a.Status, header: a.Header, body: body}
+	retryable = c.recordResponse(attempt, a)
+	if c.mustReplace(a) {
+		return nil, false
+	}
+	return &plainResponse{status: a.Status, header: a.Header, body: body}, retryable
+}
+
+// recordResponse records the outcome of an endpoint's response that isn't a refusal without a run. It returns whether the request may be
+// retried at another endpoint.
+func (c *call) recordResponse(attempt *placement.Attempt, a *Answer) (retryable bool) {
+	if a.Status >= http.StatusBadRequest {
+		c.detail = appendDetail(c.detail, "error response from "+attempt.Endpoint.ID+": "+http.StatusText(a.Status))
+	}
 	if a.Status < http.StatusInternalServerError {
 		attempt.Done(placement.Served)
-		return response, false
+		return false
 	}
 	attempt.Done(placement.Failed)
 	c.possibleRuns++
-	c.detail = appendDetail(c.detail, "error response from "+attempt.Endpoint.ID)
-	return response, c.route.Semantics == catalog.Idempotent && c.possibleRuns < c.route.Attempts
+	return c.route.Repeatable() && c.possibleRuns < c.route.Attempts
 }
 
+// mustReplace reports whether an endpoint's response must be replaced by an error of this VM: its status would make the caller send a
+// request again that has run and may not be repeated.
+func (c *call) mustReplace(a *Answer) bool { return a.DeniesRun && !c.route.Repeatable() }
+
 // recordFailure records a broken exchange with an endpoint. It returns whether the request may be retried at another endpoint.
 func (c *call) recordFailure(attempt *placement.Attempt, err error) (retryable bool) {
 	if c.ctx.Err() != nil {
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -300,22 +300,16 @@
 	}
 }
 
-// relayFailure sends an engine's error response to the caller, unless the stream has started or another engine may be tried.
+// relayFailure sends an engine's error response to the caller, unless the stream has started, another engine may be tried, or the response
+// must be replaced.
 func (c *call) relayFailure(attempt *placement.Attempt, a *Answer, st *streamState) (done, retryable bool) {
 	body, err := c.readBody(a.Body)
 	if err != nil {
 		return false, c.recordFailure(attempt, &upstream.SendError{MaySent: true, Err: err})
 	}
 	c.excluded[attempt.Endpoint.ID] = true
-	c.possibleRuns++
-	c.detail = appendDetail(c.detail, "error response from "+attempt.Endpoint.ID+": "+http.StatusText(a.Status))
-	outcome := placement.Failed
-	if a.Status < http.StatusInternalServerError {
-		outcome = placement.Served
-	}
-	attempt.Done(outcome)
-	retryable = c.route.Repeatable() && outcome == placement.Failed && c.possibleRuns < c.route.Attempts
-	if st.started.Load() || retryable {
+	retryable = c.recordResponse(attempt, a)
+	if st.started.Load() || retryable || c.mustReplace(a) {
 		return false, retryable
 	}
 	c.w.WriteAnswer(a.Status, a.Header, body)
