ingress: streams of plain services are relayed as streams

Cause: the request path was chosen by whether the request describes a prompt. Streams without one took the path that buffers a whole response, which takes the end of the connection for the end of the response and gives it a length. The same stream with a reset in chunks failed as it should, so the connection's errors were not the fault; the length in the response shows that the buffering path had served it.

Streaming routes take the path for streams whether or not there is a prompt. The scanner of event boundaries moves to internal/eventstream and accepts CR LF, since plain services may send it; the first event of a resumed stream must have an id now, because a response head ends like such an event. A buffered response that calls itself text/event-stream is checked too.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -16,6 +16,7 @@
 	"crocusglade.example/crocusglade/internal/bootclock"
 	"crocusglade.example/crocusglade/internal/catalog"
 	"crocusglade.example/crocusglade/internal/ctxtime"
+	"crocusglade.example/crocusglade/internal/eventstream"
 	"crocusglade.example/crocusglade/internal/placement"
 	"crocusglade.example/crocusglade/internal/retry"
 )
@@ -236,7 +237,7 @@
 	usageCounted bool
 	// events scans the stream of the current exchange with an engine. firstEventAt is when its first event arrived; longAnswer is set
 	// once it has gone on for that long.
-	events       eventScanner
+	events       eventstream.Scanner
 	firstEventAt time.Time
 	longAnswer   bool
 	// freeAfter is the Retry-After time of a request that is refused because of pauses; 0 if it is not.
@@ -274,8 +275,8 @@
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
 	c.ctx = ctx
-	if c.route.HasPrompts && r.Prompt != nil {
-		c.serveEngine()
+	if c.route.Semantics == catalog.Stream || c.hasPrompt() {
+		c.serveStream()
 		return
 	}
 	c.servePlain()
@@ -326,7 +327,7 @@
 	if c.Quarantine.Blocked(c.fingerprint) {
 		return apierror.New(apierror.Unavailable, "don't send this request again", "the request crashed endpoints that ran it"), 0
 	}
-	if c.route.HasPrompts && c.r.Prompt != nil {
+	if c.hasPrompt() {
 		for _, id := range c.r.Prompt.SharedPartIDs() {
 			c.sharedParts = append(c.sharedParts, retry.NewPart(c.service, id))
 		}
--- a/internal/ingress/plain.go
+++ b/internal/ingress/plain.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"crocusglade.example/crocusglade/internal/catalog"
+	"crocusglade.example/crocusglade/internal/eventstream"
 	"crocusglade.example/crocusglade/internal/placement"
 	"crocusglade.example/crocusglade/internal/retry"
 	"crocusglade.example/crocusglade/internal/upstream"
@@ -95,6 +96,9 @@
 	if !a.Signed && a.Status < http.StatusMultipleChoices {
 		return nil, c.recordFailure(attempt, &upstream.SendError{MaySent: true, Err: upstream.ErrMalformed})
 	}
+	if eventstream.IsBrokenOff(a.Header, body) {
+		return nil, c.recordFailure(attempt, &upstream.SendError{MaySent: true, Err: errIncompleteStream})
+	}
 	retryable = c.recordResponse(attempt, a)
 	if c.mustReplace(a) {
 		return nil, false
@@ -159,8 +163,8 @@
 		c.Log.Warn().Str("request", c.r.ID).Str("endpoint", e.ID).Uint64("fingerprint", c.fingerprint).Msg("request quarantined")
 	}
 	c.sawCrash = true
-	c.detail = appendDetail(c.detail, fmt.Sprintf("%s crashed after %d events", e.ID, c.events.completed))
-	if c.events.completed > maxSuspectEvents {
+	c.detail = appendDetail(c.detail, fmt.Sprintf("%s crashed after %d events", e.ID, c.events.Completed))
+	if c.events.Completed > maxSuspectEvents {
 		return
 	}
 	c.Parts.RecordCrash(c.sharedParts, retry.CrashKey(e.ID, e.StartedAtMS))
--- a/internal/ingress/stall.go
+++ b/internal/ingress/stall.go
@@ -26,7 +26,7 @@
 	// the response or only be busy. Callers disconnect after two seconds or eight gaps, whichever is longer.
 	minStallEngineActive    = 1200 * time.Millisecond
 	gapsToStallEngineActive = 5
-	// An idempotent request without a response is retried at another endpoint after responseTimeoutFactor times the route's objective or
+	// An idempotent request or resumable stream without a response is retried at another endpoint after responseTimeoutFactor times the route's objective or
 	// minResponseTimeout, whichever is longer. Nearly all responses arrive within the objective, and the queues of endpoints are shorter.
 	responseTimeoutFactor = 3
 	minResponseTimeout    = 400 * time.Millisecond
@@ -56,11 +56,11 @@
 		return w
 	}
 	stall, stallEngineActive := max(minStall, gapsToStall*c.route.EventGap), max(minStallEngineActive, gapsToStallEngineActive*c.route.EventGap)
-	firstTokenLimit, canFailOver := placement.FirstTokenLimit(plan.Predicted), c.failoverCheck(&plan.Decode.Endpoint)
+	firstEventLimit, canFailOver := c.firstEventLimit(plan), c.failoverCheck(&plan.Decode.Endpoint)
 	go func() {
 		for ctxtime.Sleep(w.ctx, stallCheckInterval) {
 			idle, responded := w.idleTime()
-			lost := !responded && idle > firstTokenLimit
+			lost := !responded && idle > firstEventLimit
 			stalled := responded && st.started.Load() && (idle > stallEngineActive || idle > stall && plan.Decode.IdleTime() > engineSilenceLimit)
 			switch {
 			case !lost && !stalled || !canFailOver():
@@ -74,6 +74,19 @@
 	return w
 }
 
+// firstEventLimit returns the time-out for the first event of a stream.
+func (c *call) firstEventLimit(plan *placement.Plan) time.Duration {
+	if c.hasPrompt() {
+		return placement.FirstTokenLimit(plan.Predicted)
+	}
+	return c.responseTimeout()
+}
+
+// responseTimeout returns the time-out for the response of a plain service, or its first event, if the request can be retried.
+func (c *call) responseTimeout() time.Duration {
+	return max(responseTimeoutFactor*c.route.Objective, minResponseTimeout)
+}
+
 // failoverCheck returns a function that reports whether the request can currently be retried at another endpoint. If it can't, the exchange
 // goes on, because a late response is better than none. The function may be called from another goroutine.
 func (c *call) failoverCheck(from *catalog.Endpoint) func() bool {
@@ -102,5 +115,5 @@
 	if c.route.Semantics != catalog.Idempotent || !c.failoverCheck(e)() {
 		return c.ctx, func() {}
 	}
-	return context.WithTimeoutCause(c.ctx, max(responseTimeoutFactor*c.route.Objective, minResponseTimeout), errNoResponse)
+	return context.WithTimeoutCause(c.ctx, c.responseTimeout(), errNoResponse)
 }
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 
 	"crocusglade.example/crocusglade/internal/apierror"
+	"crocusglade.example/crocusglade/internal/eventstream"
 	"crocusglade.example/crocusglade/internal/placement"
 	"crocusglade.example/crocusglade/internal/upstream"
 )
@@ -39,14 +40,16 @@
 	lastEvent string
 	// partialEvent holds the bytes of an event that is not complete yet. It is empty for streams that can't be resumed.
 	partialEvent []byte
+	// resuming is true until the first event of an endpoint that resumes the stream has arrived.
+	resuming bool
 	// moreEvents is true if the last engine broke the stream off inside an event, so that at least one event must follow.
 	moreEvents bool
 }
 
-// serveEngine serves a request with a prompt and streams the generated tokens. It retries or resumes at other engines where the route
-// allows that.
-func (c *call) serveEngine() {
-	if !c.Fleet.FitsKVCache(c.service, c.r.Prompt) {
+// serveStream serves a request whose response is a stream of events, or that has a prompt. It retries or resumes at other endpoints where
+// the route allows that.
+func (c *call) serveStream() {
+	if c.hasPrompt() && !c.Fleet.FitsKVCache(c.service, c.r.Prompt) {
 		c.refuse(apierror.New(apierror.Unavailable, "send a shorter prompt", "the engines' KV cache is too small for a prompt of %d tokens", c.r.Prompt.Tokens), 0)
 		return
 	}
@@ -55,13 +58,12 @@
 		if c.remaining() < minDispatchTime || c.ctx.Err() != nil {
 			break
 		}
-		c.setWaitLimits(st)
-		plan := c.Fleet.PlacePrompt(c.service, c.r.Prompt, c.excluded)
+		plan := c.placeStream(st)
 		if plan == nil && c.awaitFreeEndpoint() {
 			continue
 		}
 		if plan == nil {
-			c.detail = appendDetail(c.detail, "no engine accepts requests")
+			c.detail = appendDetail(c.detail, "no endpoint accepts requests")
 			break
 		}
 		if plan.LimitExcess > 0 {
@@ -78,16 +80,36 @@
 			break
 		}
 	}
-	if st.started.Load() {
+	c.endUnservedStream(st)
+}
+
+// endUnservedStream ends a stream that no endpoint completed. One that has started is broken off, so that it doesn't look complete.
+func (c *call) endUnservedStream(st *streamState) {
+	switch {
+	case st.started.Load():
 		c.w.Abort()
 		outcome := "broken_off"
 		if c.callerLeft() {
 			outcome = "caller_left"
 		}
 		c.finish(outcome)
-		return
+	case c.hasPrompt():
+		c.giveUp("no engine served the request", retryAfterNoEngine)
+	default:
+		c.giveUp("no endpoint answered", retryAfterFull)
 	}
-	c.giveUp("no engine served the request", retryAfterNoEngine)
+}
+
+// hasPrompt reports whether the request describes a prompt for an engine.
+func (c *call) hasPrompt() bool { return c.route.HasPrompts && c.r.Prompt != nil }
+
+// placeStream selects the endpoints for the next attempt. It returns nil if none accepts the request.
+func (c *call) placeStream(st *streamState) *placement.Plan {
+	if !c.hasPrompt() {
+		return c.Fleet.PlaceStream(c.service, c.excluded)
+	}
+	c.setWaitLimits(st)
+	return c.Fleet.PlacePrompt(c.service, c.r.Prompt, c.excluded)
 }
 
 // setWaitLimits sets the prompt's limits for the queueing time and the time to the first token. A stream that is being resumed has no
@@ -145,11 +167,11 @@
 func (c *call) runDecode(plan *placement.Plan, handle *Handle, st *streamState) (done, retryable, misdirected bool) {
 	d := c.newDispatch(plan.Decode)
 	d.Handle = handle
-	d.ResumeAfter = st.lastEvent
+	d.ResumeAfter, st.resuming = st.lastEvent, st.lastEvent != ""
 	c.dispatches++
 	c.reachedEndpoint = true
 	c.endpoint = plan.Decode.Endpoint.ID
-	c.events, c.firstEventAt, c.longAnswer = eventScanner{}, time.Time{}, false
+	c.events, c.firstEventAt, c.longAnswer = eventstream.Scanner{}, time.Time{}, false
 	w := c.watchStall(plan, st)
 	defer w.stop()
 	a, err := c.Backend.Run(w.ctx, &plan.Decode.Endpoint, c.r, d)
@@ -213,9 +235,9 @@
 	return nil, false
 }
 
-// newDispatch returns the parameters of a dispatch to an engine.
+// newDispatch returns the parameters of a dispatch of a stream. Only engines know priorities.
 func (c *call) newDispatch(attempt *placement.Attempt) *Dispatch {
-	return &Dispatch{Team: c.team, Remaining: c.remaining(), HasPriority: true, FetchFrom: attempt.FetchFrom,
+	return &Dispatch{Team: c.team, Remaining: c.remaining(), HasPriority: c.hasPrompt(), FetchFrom: attempt.FetchFrom,
 		Priority: min(max(c.priority, 0), maxEnginePriority)}
 }
 
@@ -254,12 +276,13 @@
 				c.countUsage()
 			}
 			// Bytes that complete no event are no sign of progress: the engine may send them without end.
-			if c.events.scan(buf[:n]) > 0 {
+			completed, end := c.events.Scan(buf[:n])
+			if completed > 0 {
 				w.recordActivity()
 				attempt.RecordActivity()
 				c.recordLongAnswer()
 			}
-			forwardErr := c.forward(st, a, buf[:n])
+			forwardErr := c.forward(st, a, buf[:n], end)
 			switch {
 			case errors.Is(forwardErr, errNotResumed):
 				err = forwardErr
@@ -269,7 +292,7 @@
 				return false, false
 			}
 		}
-		if c.events.pending > maxEventBytes {
+		if c.events.Pending > maxEventBytes {
 			err = errEventTooLarge
 		}
 		if err == io.EOF && c.isIncomplete(a, st) {
@@ -282,7 +305,7 @@
 			if w.ctx.Err() != nil {
 				err = context.Cause(w.ctx)
 			}
-			st.partialEvent, st.moreEvents = nil, c.events.pending > 0
+			st.partialEvent, st.moreEvents = nil, c.events.Pending > 0
 			c.excluded[attempt.Endpoint.ID] = true
 			return false, c.recordFailure(attempt, &upstream.SendError{MaySent: true, Err: err})
 		}
@@ -316,20 +339,20 @@
 	return true, false
 }
 
-// forward sends a part of the response to the caller. For resumable streams it sends complete events only, so that another engine can
-// continue after the last one, and returns errNotResumed if the events don't follow those that the caller has.
-func (c *call) forward(st *streamState, a *Answer, p []byte) error {
+// forward sends a part of the response to the caller, of which the first end bytes complete events. For resumable streams it sends
+// complete events only, so that another endpoint can continue after the last one, and returns errNotResumed if the events don't follow
+// those that the caller has.
+func (c *call) forward(st *streamState, a *Answer, p []byte, end int) error {
 	if !c.route.Resumable {
 		c.startStream(st, a)
 		return c.w.WriteEvent(p)
 	}
-	st.partialEvent = append(st.partialEvent, p...)
-	end := bytes.LastIndex(st.partialEvent, eventEnd)
-	if end < 0 {
+	if end == 0 {
+		st.partialEvent = append(st.partialEvent, p...)
 		return nil
 	}
-	complete := st.partialEvent[:end+len(eventEnd)]
-	if !follows(complete, st.lastEvent) {
+	complete := append(st.partialEvent, p[:end]...)
+	if !st.acceptsNext(complete) {
 		return errNotResumed
 	}
 	c.startStream(st, a)
@@ -339,7 +362,7 @@
 	if id, ok := lastEventID(complete); ok {
 		st.lastEvent = id
 	}
-	st.partialEvent = append([]byte(nil), st.partialEvent[len(complete):]...)
+	st.partialEvent = append([]byte(nil), p[end:]...)
 	return nil
 }
 
@@ -376,7 +399,19 @@
 
 // isIncomplete reports whether a stream that the engine ended regularly lacks events or the end of one.
 func (c *call) isIncomplete(a *Answer, st *streamState) bool {
-	return c.events.pending > 0 || c.events.completed == 0 && (a.EndsWithConnection || st.moreEvents)
+	return c.events.Pending > 0 || c.events.Completed == 0 && (a.EndsWithConnection || st.moreEvents)
+}
+
+// acceptsNext reports whether complete events may continue the stream. The first of a resumed stream must have an id, or be a comment: bytes
+// of another response have none.
+func (st *streamState) acceptsNext(events []byte) bool {
+	if st.resuming && events[0] != ':' {
+		if _, ok := lastEventID(eventstream.First(events)); !ok {
+			return false
+		}
+		st.resuming = false
+	}
+	return follows(events, st.lastEvent)
 }
 
 // follows reports whether the first id among events is above the id of the event before them. It is true if one of them is no number.
--- a/internal/placement/attempt.go
+++ b/internal/placement/attempt.go
@@ -19,13 +19,17 @@
 	// LimitExcess is the largest excess of the prediction over the prompt's limits. A plan that exceeds them has no attempts.
 	LimitExcess time.Duration
 
-	// estimate is the predicted time to the first token in milliseconds, without the correction for direct or split plans.
+	// estimate is the predicted time to the first token in milliseconds, without the correction for direct or split plans, and createdAt
+	// when it was made; zero without a prediction.
 	estimate  float64
 	createdAt time.Time
 }
 
-// RecordFirstToken records that the first token has arrived. The error of the prediction corrects later predictions.
+// RecordFirstToken records that the first token has arrived. The error of the prediction, if there is one, corrects later predictions.
 func (p *Plan) RecordFirstToken() {
+	if p.createdAt.IsZero() {
+		return
+	}
 	f := p.Decode.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/placement/select.go
+++ b/internal/placement/select.go
@@ -340,3 +340,12 @@
 	}
 	return f.startAttempt(best, 0, false)
 }
+
+// PlaceStream is like PlaceCall for a stream without a prompt. The plan has no prediction.
+func (f *Fleet) PlaceStream(service string, exclude map[string]bool) *Plan {
+	attempt := f.PlaceCall(service, exclude)
+	if attempt == nil {
+		return nil
+	}
+	return &Plan{Decode: attempt}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -82,7 +82,7 @@
 	Header http.Header
 	// Reused is true if the request was sent over a reused connection.
 	Reused bool
-	// EndsWithConnection is true if the response has neither a length nor chunks, so that a crash can't be told from its end.
+	// EndsWithConnection is true if the response has a body with neither a length nor chunks, so that a crash can't be told from its end.
 	EndsWithConnection bool
 
 	body      io.ReadCloser
@@ -155,7 +155,7 @@
 		return nil, &SendError{MaySent: true, Err: errors.Wrap(err, "read response header")}
 	}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Reused: reused, body: resp.Body, conn: c, client: cl, detachContext: stop,
-		selfDelimited: !resp.Close, EndsWithConnection: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0}, nil
+		selfDelimited: !resp.Close, EndsWithConnection: resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0}, nil
 }
 
 // getConn returns an idle connection that is still usable, or a new one. It reports whether the connection is reused.
