ingress: responses without end fit into the memory of the VM

Reported by other operators: a faulty replica sends bytes without end, the process keeps them until it runs out of memory, and the requests of all its callers end with it.

Cause here: what all requests buffer together was bounded by 64 MiB whatever the memory of the VM, counted by bytes read although buffers are up to twice as large; incomplete events and responses to prefills (1 MiB each) didn't count.

internal/buffer accounts for buffers by their size: an eighth of the VM's memory in all, half of that for one service, and nothing for the first 4 KiB, so that other services are served meanwhile.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -14,6 +14,7 @@
 
 	"crocusglade.example/crocusglade/internal/apierror"
 	"crocusglade.example/crocusglade/internal/bootclock"
+	"crocusglade.example/crocusglade/internal/buffer"
 	"crocusglade.example/crocusglade/internal/catalog"
 	"crocusglade.example/crocusglade/internal/ctxtime"
 	"crocusglade.example/crocusglade/internal/eventstream"
@@ -148,6 +149,8 @@
 	Ready func() bool
 	// Bounds returns the current bounds of the deployment. They may change.
 	Bounds func() Bounds
+	// MaxBufferedBytes bounds the responses that this VM buffers at the same time; 0 means buffer.DefaultMax.
+	MaxBufferedBytes int64
 	// TimeToStop returns the time until this VM stops serving, and false while it accepts all requests. Nil means that it never stops.
 	TimeToStop func() (time.Duration, bool)
 }
@@ -173,10 +176,9 @@
 // Server serves requests by sending them to endpoints. It is safe for concurrent use.
 type Server struct {
 	Config
-	inFlight atomic.Int64
-	// bufferedBytes is the size of the responses that are currently buffered.
-	bufferedBytes atomic.Int64
-	started       time.Time
+	inFlight     atomic.Int64
+	bufferMemory *buffer.Memory
+	started      time.Time
 	// pauseWaitShare is maxPauseWaitShare, which measurements vary.
 	pauseWaitShare float64
 	// pickCount is the number of requests that were assigned to one of their route's services; see nextPick.
@@ -184,7 +186,10 @@
 }
 
 func New(c Config) *Server {
-	return &Server{Config: c, started: time.Now(), pauseWaitShare: maxPauseWaitShare}
+	if c.MaxBufferedBytes == 0 {
+		c.MaxBufferedBytes = buffer.DefaultMax
+	}
+	return &Server{Config: c, bufferMemory: buffer.NewMemory(c.MaxBufferedBytes), started: time.Now(), pauseWaitShare: maxPauseWaitShare}
 }
 
 // InFlight returns the number of requests in progress.
@@ -244,8 +249,8 @@
 	freeAfter time.Duration
 	// pauseWaitEnds is until when the request waits for the end of a pause; zero until it waits.
 	pauseWaitEnds time.Time
-	// reservedBytes is the part of bufferedBytes that belongs to this request.
-	reservedBytes int
+	// buffers is the memory for the buffers of the request. It is set when the request is admitted.
+	buffers *buffer.Reservation
 	// firstResponseAfter is the time from the request's arrival to the first part of its response; 0 before there is one.
 	firstResponseAfter time.Duration
 	// The following fields are for the log.
@@ -266,7 +271,6 @@
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	c := &call{Server: s, ctx: ctx, r: r, w: w, excluded: make(map[string]bool)}
-	defer c.releaseBuffer()
 	s.awaitReady(ctx)
 	if refusal, retryAfter := c.admit(); refusal != nil {
 		c.refuse(refusal, retryAfter)
@@ -274,7 +278,8 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
-	c.ctx = ctx
+	c.ctx, c.buffers = ctx, s.bufferMemory.Reserve(c.service)
+	defer c.buffers.Release()
 	if c.route.Semantics == catalog.Stream || c.hasPrompt() {
 		c.serveStream()
 		return
--- a/internal/ingress/plain.go
+++ b/internal/ingress/plain.go
@@ -89,7 +89,7 @@
 	c.mayHaveRun = true
 	c.firstResponseAfter = time.Since(c.r.Arrived)
 	c.countUsage()
-	body, err := c.readBody(a.Body)
+	body, err := c.buffers.ReadAll(a.Body, maxResponseBytes)
 	if err != nil {
 		return nil, c.recordFailure(attempt, &upstream.SendError{MaySent: true, Err: err})
 	}
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 
 	"crocusglade.example/crocusglade/internal/apierror"
+	"crocusglade.example/crocusglade/internal/buffer"
 	"crocusglade.example/crocusglade/internal/eventstream"
 	"crocusglade.example/crocusglade/internal/placement"
 	"crocusglade.example/crocusglade/internal/upstream"
@@ -284,7 +285,7 @@
 			}
 			forwardErr := c.forward(st, a, buf[:n], end)
 			switch {
-			case errors.Is(forwardErr, errNotResumed):
+			case errors.Is(forwardErr, errNotResumed), errors.Is(forwardErr, buffer.ErrTooLarge):
 				err = forwardErr
 			case forwardErr != nil:
 				attempt.Done(placement.Abandoned)
@@ -305,7 +306,8 @@
 			if w.ctx.Err() != nil {
 				err = context.Cause(w.ctx)
 			}
-			st.partialEvent, st.moreEvents = nil, c.events.Pending > 0
+			_ = c.holdBack(st, nil) // can't fail, since it needs no memory
+			st.moreEvents = c.events.Pending > 0
 			c.excluded[attempt.Endpoint.ID] = true
 			return false, c.recordFailure(attempt, &upstream.SendError{MaySent: true, Err: err})
 		}
@@ -326,7 +328,7 @@
 // relayFailure sends an engine's error response to the caller, unless the stream has started, another engine may be tried, or the response
 // must be replaced.
 func (c *call) relayFailure(attempt *placement.Attempt, a *Answer, st *streamState) (done, retryable bool) {
-	body, err := c.readBody(a.Body)
+	body, err := c.buffers.ReadAll(a.Body, maxResponseBytes)
 	if err != nil {
 		return false, c.recordFailure(attempt, &upstream.SendError{MaySent: true, Err: err})
 	}
@@ -348,8 +350,7 @@
 		return c.w.WriteEvent(p)
 	}
 	if end == 0 {
-		st.partialEvent = append(st.partialEvent, p...)
-		return nil
+		return c.holdBack(st, append(st.partialEvent, p...))
 	}
 	complete := append(st.partialEvent, p[:end]...)
 	if !st.acceptsNext(complete) {
@@ -362,7 +363,15 @@
 	if id, ok := lastEventID(complete); ok {
 		st.lastEvent = id
 	}
-	st.partialEvent = append([]byte(nil), p[end:]...)
+	return c.holdBack(st, append([]byte(nil), p[end:]...))
+}
+
+// holdBack replaces the bytes of the incomplete event of a stream.
+func (c *call) holdBack(st *streamState, partial []byte) error {
+	if err := c.buffers.Resize(cap(st.partialEvent), cap(partial)); err != nil {
+		return err
+	}
+	st.partialEvent = partial
 	return nil
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 
 	"crocusglade.example/crocusglade/internal/apitypes"
 	"crocusglade.example/crocusglade/internal/bootclock"
+	"crocusglade.example/crocusglade/internal/buffer"
 	"crocusglade.example/crocusglade/internal/catalog"
 	"crocusglade.example/crocusglade/internal/daemon"
 	"crocusglade.example/crocusglade/internal/discovery"
@@ -72,6 +73,9 @@
 	retryBudgetFraction = 0.7
 	// memoryLimitFraction is the fraction of MemoryMB that is set as the Go runtime's soft memory limit.
 	memoryLimitFraction = 0.6
+	// maxBufferedFraction is the fraction of MemoryMB that responses of endpoints may occupy while they are buffered. The rest is for
+	// growing buffers, garbage and the process itself.
+	maxBufferedFraction = 0.125
 	// incarnationLength is the number of characters of an incarnation, the ID of one start of a VM's process.
 	incarnationLength = 8
 	// pruneInterval is how often idle connections are pruned.
@@ -142,8 +146,9 @@
 	})
 	n.server = ingress.New(ingress.Config{Catalog: n.catalogHolder, Fleet: n.fleet, Backend: a.Backend, Usage: n.meter,
 		Budget: n.retryBudget, Quarantine: quarantine, Parts: parts, Log: n.log, Observe: requestMetrics, OnMisdirected: n.link.AnnounceUnavailableEndpoint,
-		Ready:  func() bool { return n.catalogHolder.Current() != nil && n.registry.HasSynced() },
-		Bounds: func() ingress.Bounds { return *n.bounds.Load() }, TimeToStop: n.timeToStop})
+		MaxBufferedBytes: bufferLimit(s.MemoryMB),
+		Ready:            func() bool { return n.catalogHolder.Current() != nil && n.registry.HasSynced() },
+		Bounds:           func() ingress.Bounds { return *n.bounds.Load() }, TimeToStop: n.timeToStop})
 	return n, nil
 }
 
@@ -171,6 +176,14 @@
 	return code
 }
 
+// bufferLimit returns how many bytes of responses a VM with this memory may buffer.
+func bufferLimit(memoryMB int64) int64 {
+	if memoryMB <= 0 {
+		return buffer.DefaultMax
+	}
+	return min(int64(maxBufferedFraction*float64(memoryMB<<20)), buffer.DefaultMax)
+}
+
 // linkAddress returns the link address of the VM with an IP address.
 func (n *Node) linkAddress(ip string) string { return net.JoinHostPort(ip, strconv.Itoa(n.LinkPort)) }
 
