endpoint: a bound for all responses that are being read

The product's own gateway bounded each response (16 MiB, heads 10 MB) and not all of them together: the same fault as in the ingress. The client accounts for bodies and events by internal/buffer, with 64 MiB in all and half of that for one endpoint, and bounds heads by 64 KiB.

--- a/internal/endpoint/chunk_test.go
+++ b/internal/endpoint/chunk_test.go
@@ -21,7 +21,7 @@
 	var s *Stream
 	for i := 0; b.Loop(); i++ {
 		if i%perStream == 0 {
-			s = &Stream{client: c, responseID: "chatcmpl-r1", stallTimer: w, lines: newEventScanner(io.NopCloser(bytes.NewReader(text)), 1<<20)}
+			s = &Stream{client: c, responseID: "chatcmpl-r1", stallTimer: w, buffers: c.buffers.Reserve("e"), lines: newEventScanner(io.NopCloser(bytes.NewReader(text)), 1<<20)}
 		}
 		if _, err := s.Next(); err != nil {
 			b.Fatal(err)
--- a/internal/endpoint/completion.go
+++ b/internal/endpoint/completion.go
@@ -11,6 +11,8 @@
 	"unicode/utf8"
 
 	"github.com/go-faster/errors"
+
+	"crocusglade.example/crocusglade/internal/buffer"
 )
 
 // Paths of the completion calls of engines.
@@ -120,7 +122,7 @@
 		return nil, dataStatusError(resp, addr, r.Path, r.RequestID)
 	}
 	defer resp.Body.Close()
-	body, err := c.readBody(resp.Body)
+	body, err := c.readBody(addr, resp.Body)
 	if err != nil {
 		return nil, w.readError(addr, r.Path, err)
 	}
@@ -131,12 +133,12 @@
 	return response, nil
 }
 
-func (c *Client) readBody(r io.Reader) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, c.opts.MaxAnswerBytes+1))
-	if err == nil && int64(len(body)) > c.opts.MaxAnswerBytes {
-		return nil, errors.Errorf("response exceeds %d bytes; raise the limit", c.opts.MaxAnswerBytes)
-	}
-	return body, err
+// readBody reads a complete response of the endpoint at addr. Its memory is accounted for while it is being read, since a sound endpoint's
+// response ends.
+func (c *Client) readBody(addr string, r io.Reader) ([]byte, error) {
+	reservation := c.buffers.Reserve(addr)
+	defer reservation.Release()
+	return reservation.ReadAll(r, int(c.opts.MaxAnswerBytes))
 }
 
 func validateResponse(header http.Header, body []byte, r DataRequest) (*Answer, Reason, error) {
@@ -165,6 +167,7 @@
 	op         string
 	responseID string
 	body       io.ReadCloser
+	buffers    *buffer.Reservation
 	lines      *bufio.Scanner
 	stallTimer *watchdog
 
@@ -207,8 +210,9 @@
 		w.stop()
 		return nil, err
 	}
-	s := &Stream{client: c, addr: addr, op: op, responseID: AnswerID(r.Path, r.RequestID), body: resp.Body, stallTimer: w,
-		lines: newEventScanner(resp.Body, c.opts.MaxAnswerBytes)}
+	reservation := c.buffers.Reserve(addr)
+	s := &Stream{client: c, addr: addr, op: op, responseID: AnswerID(r.Path, r.RequestID), body: resp.Body, stallTimer: w, buffers: reservation,
+		lines: newEventScanner(&lineReader{src: resp.Body, buffers: reservation}, c.opts.MaxAnswerBytes)}
 	if resp.Header.Get(requestIDHeader) != r.RequestID {
 		s.Close()
 		return nil, s.fail(WrongRequest, "response header does not echo the request id")
@@ -226,6 +230,28 @@
 	return err
 }
 
+// lineReader reserves memory for the line that is being read, which a scanner keeps until its end.
+type lineReader struct {
+	src     io.Reader
+	buffers *buffer.Reservation
+	// pending is the number of bytes of the line.
+	pending int
+}
+
+// Read implements io.Reader.
+func (r *lineReader) Read(p []byte) (int, error) {
+	n, err := r.src.Read(p)
+	pending := r.pending + n
+	if end := bytes.LastIndexByte(p[:n], '\n'); end >= 0 {
+		pending = n - end - 1
+	}
+	if tooLarge := r.buffers.Resize(r.pending, pending); tooLarge != nil {
+		return 0, tooLarge
+	}
+	r.pending = pending
+	return n, err
+}
+
 func newEventScanner(r io.Reader, limit int64) *bufio.Scanner {
 	s := bufio.NewScanner(r)
 	s.Buffer(make([]byte, 0, 4096), int(limit))
@@ -314,4 +340,5 @@
 func (s *Stream) Close() {
 	s.stallTimer.stop()
 	s.body.Close()
+	s.buffers.Release()
 }
--- a/internal/endpoint/control.go
+++ b/internal/endpoint/control.go
@@ -85,7 +85,7 @@
 		return statusError(resp, addr, uri)
 	}
 	defer resp.Body.Close()
-	respBody, err := c.readBody(resp.Body)
+	respBody, err := c.readBody(addr, resp.Body)
 	if err != nil {
 		return w.readError(addr, uri, err)
 	}
@@ -149,7 +149,9 @@
 		return statusError(resp, addr, op)
 	}
 	defer resp.Body.Close()
-	lines := newEventScanner(resp.Body, c.opts.MaxAnswerBytes)
+	reservation := c.buffers.Reserve(addr)
+	defer reservation.Release()
+	lines := newEventScanner(&lineReader{src: resp.Body, buffers: reservation}, c.opts.MaxAnswerBytes)
 	for {
 		data, err := nextEventData(lines)
 		if err != nil {
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -19,6 +19,7 @@
 
 	"crocusglade.example/crocusglade/internal/apitypes"
 	"crocusglade.example/crocusglade/internal/auth"
+	"crocusglade.example/crocusglade/internal/buffer"
 	"crocusglade.example/crocusglade/internal/retryafter"
 )
 
@@ -34,6 +35,8 @@
 	defaultMaxResponseBytes = 16 << 20
 	maxIdlePerEndpoint      = 64
 	maxErrorBodyBytes       = 8 << 10
+	// maxHeaderBytes bounds the header of a response.
+	maxHeaderBytes = 64 << 10
 )
 
 // requestIDHeader carries the request id to endpoints and back.
@@ -124,11 +127,14 @@
 	ControlTimeout time.Duration
 	// MaxAnswerBytes bounds the size of a complete response and of one event of a stream.
 	MaxAnswerBytes int64
+	// MaxBufferedBytes bounds the memory of all responses and events that are being read. One endpoint may occupy half of it.
+	MaxBufferedBytes int64
 }
 
 // Client calls engines and plain services. Its methods may be called concurrently.
 type Client struct {
-	opts Options
+	opts    Options
+	buffers *buffer.Memory
 	// pooled reuses connections. The transport may send a request again when a reused connection turns out to be closed, so this client
 	// is only for requests that may run more than once.
 	pooled *http.Client
@@ -148,9 +154,12 @@
 	if o.MaxAnswerBytes == 0 {
 		o.MaxAnswerBytes = defaultMaxResponseBytes
 	}
+	if o.MaxBufferedBytes == 0 {
+		o.MaxBufferedBytes = buffer.DefaultMax
+	}
 	dialTLS := o.TLS.DialTLS(o.DialContext)
 	// The guard wraps the TLS connection, so that it sees the bytes of the call and not those of the handshake.
-	return &Client{opts: o, pooled: newHTTPClient(o.DialContext, dialTLS, false),
+	return &Client{opts: o, buffers: buffer.NewMemory(o.MaxBufferedBytes), pooled: newHTTPClient(o.DialContext, dialTLS, false),
 		unpooled: newHTTPClient(guardDial(o.DialContext), guardDial(dialTLS), true)}
 }
 
@@ -163,12 +172,13 @@
 func newHTTPClient(dial, dialTLS auth.DialFunc, oneRequestPerConnection bool) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dial,
-			DialTLSContext:      dialTLS,
-			MaxIdleConnsPerHost: maxIdlePerEndpoint,
-			IdleConnTimeout:     90 * time.Second,
-			DisableCompression:  true,
-			DisableKeepAlives:   oneRequestPerConnection,
+			DialContext:            dial,
+			DialTLSContext:         dialTLS,
+			MaxIdleConnsPerHost:    maxIdlePerEndpoint,
+			IdleConnTimeout:        90 * time.Second,
+			DisableCompression:     true,
+			DisableKeepAlives:      oneRequestPerConnection,
+			MaxResponseHeaderBytes: maxHeaderBytes,
 		},
 		// A redirect would send the request to an address that no operator has configured.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/internal/endpoint/service.go
+++ b/internal/endpoint/service.go
@@ -61,7 +61,7 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
-	body, err := c.readBody(resp.Body)
+	body, err := c.readBody(addr, resp.Body)
 	if err != nil {
 		e := &Error{Addr: addr, Op: op, Reason: Interrupted, MaybeSent: true, Err: err}
 		if cause := context.Cause(ctx); cause != nil {
