node: a planned stop cuts no request that it has accepted

Cause: a request is refused if its time limit exceeds the time that is left of the grace period, but the process ended earlier than that. The drain ended when no request was in progress and didn't count those whose body was still being read; with a short grace period everything was accepted up to the end, and cut before its last sixth.

A request counts from its first byte, by the state of its connection. When the drain ends, everything is refused from then on; the port is closed, open connections get refusals for half of the reserve, and then the server shuts down. Reserve and acceptance time are bounded by shares of the grace period.

TestDrainWaitsForSlowUpload shows that the product's own gateway didn't have the fault.

--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -88,3 +88,54 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// Guards against a drain that doesn't wait for a request whose body is still being read: it would be cut in its run, although it was accepted.
+func TestDrainWaitsForSlowUpload(t *testing.T) {
+	h := newHarness(t, slowEngine)
+	addr := h.startGateway("vm-1", func(o *Options) { o.EntryLifetime, o.DiscoveryLeaveDelay = time.Millisecond, time.Millisecond })
+	g := h.gateways["vm-1"]
+	body := strings.Replace(longStream, `"stream":true`, `"stream":false`, 1)
+	rest, upload := io.Pipe()
+	status := make(chan int, 1)
+	go func() {
+		req := h.newRequest("POST", addr, endpoint.ChatPath, "rope", "")
+		req.Body, req.ContentLength = rest, int64(len(body))
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Error(err)
+			status <- 0
+			return
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		status <- resp.StatusCode
+	}()
+	if _, err := io.WriteString(upload, body[:10]); err != nil {
+		t.Fatal(err)
+	}
+	isPending := func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.pendingWork > 0
+	}
+	for !isPending() {
+		time.Sleep(time.Millisecond)
+	}
+	drained := make(chan error, 1)
+	go func() { drained <- g.Drain(t.Context()) }()
+	select {
+	case err := <-drained:
+		t.Fatalf("the drain ended before the request was complete: %v", err)
+	case <-time.After(100 * time.Millisecond):
+	}
+	if _, err := io.WriteString(upload, body[10:]); err != nil {
+		t.Fatal(err)
+	}
+	upload.Close()
+	if s := <-status; s != http.StatusOK {
+		t.Errorf("status %d", s)
+	}
+	if err := <-drained; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/node/caller_server.go
+++ b/internal/node/caller_server.go
@@ -25,10 +25,14 @@
 	// minDrainTime is how long a draining VM keeps serving, so that callers that hold its address learn other addresses first. It
 	// is more than three lifetimes of a directory response.
 	minDrainTime = 4 * time.Second
-	// drainAcceptTime is how long a draining VM accepts all requests. After it, requests that may last until the VM stops are refused.
-	drainAcceptTime = 3 * time.Second
-	// shutdownReserve is the part of the grace period that is reserved for closing connections.
+	// drainAcceptTime is how long a draining VM accepts all requests, but at most drainAcceptShare of the grace period. After it, requests
+	// that may last until the VM stops are refused.
+	drainAcceptTime  = 3 * time.Second
+	drainAcceptShare = 3.0 / 8
+	// shutdownReserve is the part of the grace period that is reserved for closing connections, but at most shutdownShare of it: the
+	// platform excuses requests that are cut in its last sixth.
 	shutdownReserve = 700 * time.Millisecond
+	shutdownShare   = 1.0 / 10
 	// pollInterval is the time between checks while waiting for the drain or for the first engines.
 	pollInterval = 20 * time.Millisecond
 )
@@ -37,7 +41,7 @@
 // had time to switch to other VMs, and then closes the listener.
 func (n *Node) callerServerComponent() daemon.Component {
 	server := &http.Server{Handler: n.Adapter.NewCallerHandler(n.server, n.catalogHolder, n.draining.Load), ReadHeaderTimeout: callerHeaderTimeout,
-		IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes, DisableGeneralOptionsHandler: true}
+		IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes, DisableGeneralOptionsHandler: true, ConnState: n.activeConns.update}
 	return daemon.Component{Name: "front",
 		Run: func(ctx context.Context) error {
 			listenConfig := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: callerKeepAliveInterval, Interval: callerKeepAliveInterval, Count: 2}}
@@ -45,8 +49,9 @@
 			if err != nil {
 				return errors.Wrap(err, "listen for callers (check the address and that no other process uses it)")
 			}
+			n.callerListener.Store(newCallerListener(listener))
 			defer context.AfterFunc(ctx, func() { _ = server.Close() })()
-			err = server.Serve(listener)
+			err = server.Serve(n.callerListener.Load())
 			if errors.Is(err, http.ErrServerClosed) {
 				<-ctx.Done() // closed by a drain; the component ends with its context
 				return nil
@@ -54,32 +59,59 @@
 			return err
 		},
 		Drain:    func(ctx context.Context) error { return n.drainCallerServer(ctx, server) },
-		InFlight: n.server.InFlight,
+		InFlight: n.activeConns.count,
 	}
 }
 
+// drainCallerServer drains the server for callers. Until the end it serves what can be completed. The drain ends early when no request is
+// in progress, including those that are still being read. From its end on, all requests are refused: the process ends as soon as those that
+// were accepted before are complete, so a later one would be cut although the grace period goes on.
 func (n *Node) drainCallerServer(ctx context.Context, server *http.Server) error {
 	started := time.Now()
 	n.drainStartedAt.Store(&started)
 	n.draining.Store(true)
 	n.link.AnnounceDrain()
-	maxDrainTime := n.Grace - shutdownReserve
-	for time.Since(started) < maxDrainTime && (time.Since(started) < min(minDrainTime, maxDrainTime) || n.server.InFlight() > 0) {
-		if !ctxtime.Sleep(ctx, pollInterval) {
-			break
+	limit := n.maxDrainTime()
+	n.waitWhile(ctx, started.Add(limit), func() bool {
+		return time.Since(started) < min(minDrainTime, limit) || n.activeConns.count() > 0
+	})
+	n.refusesAll.Store(true)
+	n.waitWhile(ctx, started.Add(limit), func() bool { return n.server.InFlight() > 0 })
+	n.log.Info().Int("in_flight", n.activeConns.count()).Int64("drained_ms", time.Since(started).Milliseconds()).Msg("drain ended, closing the caller listener")
+	if l := n.callerListener.Load(); l != nil {
+		if err := l.stopAccepting(); err != nil {
+			n.log.Warn().Err(err).Msg("closing the caller listener failed")
 		}
 	}
-	n.log.Info().Int("in_flight", n.server.InFlight()).Int64("drained_ms", time.Since(started).Milliseconds()).Msg("drain ended, closing the caller listener")
-	shutdownCtx, cancel := context.WithTimeout(ctx, shutdownReserve/2)
+	ctxtime.Sleep(ctx, n.shutdownTime()/2) // callers with open connections get refusals in place of a closed connection
+	shutdownCtx, cancel := context.WithTimeout(ctx, n.shutdownTime()/4)
 	defer cancel()
 	return server.Shutdown(shutdownCtx)
 }
 
+// waitWhile waits until a condition no longer holds, the time end, or the end of ctx.
+func (n *Node) waitWhile(ctx context.Context, end time.Time, condition func() bool) {
+	for time.Now().Before(end) && condition() && ctxtime.Sleep(ctx, pollInterval) {
+	}
+}
+
+// shutdownTime returns the part of the grace period that is reserved for closing connections.
+func (n *Node) shutdownTime() time.Duration {
+	return min(shutdownReserve, time.Duration(shutdownShare*float64(n.Grace)))
+}
+
+// maxDrainTime returns how long a draining VM serves at most.
+func (n *Node) maxDrainTime() time.Duration { return n.Grace - n.shutdownTime() }
+
 // timeToStop returns the time until a draining VM stops serving, and false while the VM accepts all requests.
 func (n *Node) timeToStop() (time.Duration, bool) {
 	started := n.drainStartedAt.Load()
-	if started == nil || time.Since(*started) < drainAcceptTime {
+	acceptTime := min(drainAcceptTime, time.Duration(drainAcceptShare*float64(n.Grace)))
+	switch {
+	case n.refusesAll.Load():
+		return 0, true
+	case started == nil || time.Since(*started) < acceptTime:
 		return 0, false
 	}
-	return time.Until(started.Add(n.Grace - shutdownReserve)), true
+	return time.Until(started.Add(n.maxDrainTime())), true
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -99,9 +99,13 @@
 	server        *ingress.Server
 	retryBudget   *retry.WindowBudget
 	bounds        atomic.Pointer[ingress.Bounds]
-	draining      atomic.Bool
-	// drainStartedAt is nil until the drain starts.
+	activeConns   activeConns
+	// callerListener is nil until the server for callers has started.
+	callerListener atomic.Pointer[callerListener]
+	draining       atomic.Bool
+	// drainStartedAt is nil until the drain starts. refusesAll is set when it ends.
 	drainStartedAt atomic.Pointer[time.Time]
+	refusesAll     atomic.Bool
 	startedAt      time.Time
 	watchCaches    map[string]*discovery.WatchCache
 	// lastFencingToken is the fencing token of this VM's last term of the duties; 0 before the first. Only the duties goroutine uses it.
