--- a/internal/endpoint/broken_response_test.go
+++ b/internal/endpoint/broken_response_test.go
@@ -12,8 +12,8 @@
 	"crocusglade.example/crocusglade/internal/endpoint"
 )
 
-// rawEndpoint accepts connections, reads one request from each, sends the same bytes and closes the connection.
-func rawEndpoint(t *testing.T, answer string) (addr string) {
+// rawEndpoint accepts connections, reads one request from each, answers it with the given function and closes the connection.
+func rawEndpoint(t *testing.T, answer func(conn net.Conn)) (addr string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -30,7 +30,7 @@
 				defer conn.Close()
 				if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
 					_, _ = io.Copy(io.Discard, r.Body) // the client may have left
-					_, _ = io.WriteString(conn, answer)
+					answer(conn)
 				}
 			}()
 		}
@@ -40,7 +40,8 @@
 
 func callService(t *testing.T, answer string) (*endpoint.ServiceAnswer, error) {
 	t.Helper()
-	return newClient(t).CallService(t.Context(), rawEndpoint(t, answer), endpoint.ServiceCall{Method: http.MethodPost, URI: "/x", RequestID: "r"})
+	addr := rawEndpoint(t, func(conn net.Conn) { _, _ = io.WriteString(conn, answer) }) // the client may have left
+	return newClient(t).CallService(t.Context(), addr, endpoint.ServiceCall{Method: http.MethodPost, URI: "/x", RequestID: "r"})
 }
 
 // Guards against a stream of a plain service that ends inside an event and becomes a complete response, since the gateway gives it a length.
--- a/internal/endpoint/endless_test.go
+++ b/internal/endpoint/endless_test.go
@@ -25,31 +25,13 @@
 // endlessEndpoint answers each request with a head and then the same bytes without end. They belong to the head if it lacks its empty line.
 func endlessEndpoint(t *testing.T, head, bytes string) (addr string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
 	piece := strings.Repeat(bytes, 32<<10/len(bytes))
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				if _, err := conn.Read(make([]byte, 4<<10)); err != nil {
-					return
-				}
-				_, err := io.WriteString(conn, head)
-				for err == nil {
-					_, err = io.WriteString(conn, piece)
-				}
-			}()
+	return rawEndpoint(t, func(conn net.Conn) {
+		_, err := io.WriteString(conn, head)
+		for err == nil {
+			_, err = io.WriteString(conn, piece)
 		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 // liveHeap returns the bytes of the heap's objects after a collection.
