ingress: a silent endpoint's exchange goes on until another one responds

Callers saw streams that ended without their rest, beside endpoints that were silent for a second or so and went on (LOST).

Cause: a check of what would help, and an act that relied on it later. The stall watch looked whether the retry budget had a retry and another endpoint was there, cancelled the exchange, and only then took the retry and placed the request again. When other requests used up the budget meanwhile, or the other endpoint refused, broke off or was silent too, nothing was left. The time-out of idempotent requests did the same. A silent endpoint that accepted no connection for 150 ms also counted as crashed, against the request and the parts of its prompt.

Change: the response is received by another goroutine, so that the call can try another endpoint while the silent one goes on. The retry is taken first. The first to respond is kept and the other one cancelled, so that two never work on for long. Prefills reserve their retry before they are cancelled. An endpoint counts as crashed because of silence only if it accepts no connection for 2 s after the first probe.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -17,7 +17,6 @@
 	"crocusglade.example/crocusglade/internal/buffer"
 	"crocusglade.example/crocusglade/internal/catalog"
 	"crocusglade.example/crocusglade/internal/ctxtime"
-	"crocusglade.example/crocusglade/internal/eventstream"
 	"crocusglade.example/crocusglade/internal/placement"
 	"crocusglade.example/crocusglade/internal/retry"
 )
@@ -240,30 +239,43 @@
 	// mayHaveRun is set once an endpoint may have started to run the request.
 	mayHaveRun   bool
 	usageCounted bool
-	// events scans the stream of the current exchange with an engine. firstEventAt is when its first event arrived; longAnswer is set
-	// once it has gone on for that long.
-	events       eventstream.Scanner
-	firstEventAt time.Time
-	longAnswer   bool
+	// openExchanges counts the exchanges in progress: one, and the silent ones that it is to replace. standby is the last of those.
+	openExchanges int
+	standby       *exchange
+	current
+	// retryReserved is set if a retry was taken from the budget before the last exchange was cancelled.
+	retryReserved bool
 	// freeAfter is the Retry-After time of a request that is refused because of pauses; 0 if it is not.
 	freeAfter time.Duration
 	// pauseWaitEnds is until when the request waits for the end of a pause; zero until it waits.
 	pauseWaitEnds time.Time
-	// buffers is the memory for the buffers of the request. It is set when the request is admitted.
-	buffers *buffer.Reservation
+	// buffers is the memory for the buffers of the request. It is set when the request is admitted. reservations is that of buffered
+	// responses.
+	buffers      *buffer.Reservation
+	reservations []*buffer.Reservation
 	// firstResponseAfter is the time from the request's arrival to the first part of its response; 0 before there is one.
 	firstResponseAfter time.Duration
+	// detail is for the log.
+	detail string
+	// unavailable describes the endpoints that leave or pause.
+	unavailable string
+	// sawCrash is set once an endpoint crashed while the request was in progress there.
+	sawCrash bool
+}
+
+// current describes the current exchange with an endpoint.
+type current struct {
+	// eventCount is the number of events that have arrived, firstEventAt when the first one did; longAnswer is set once the stream has gone
+	// on for that long.
+	eventCount   int
+	firstEventAt time.Time
+	longAnswer   bool
 	// The following fields are for the log.
 	endpoint        string
 	prefillEndpoint string
-	detail          string
 	predicted       time.Duration
 	prefillTokens   int
 	fetchedCache    bool
-	// unavailable describes the endpoints that leave or pause.
-	unavailable string
-	// sawCrash is set once an endpoint crashed while the request was in progress there.
-	sawCrash bool
 }
 
 // Serve handles one request. ctx must be cancelled when the caller disconnects.
@@ -279,7 +291,7 @@
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
 	c.ctx, c.buffers = ctx, s.bufferMemory.Reserve(c.service)
-	defer c.buffers.Release()
+	defer c.releaseBuffers()
 	if c.route.Semantics == catalog.Stream || c.hasPrompt() {
 		c.serveStream()
 		return
@@ -287,6 +299,13 @@
 	c.servePlain()
 }
 
+func (c *call) releaseBuffers() {
+	c.buffers.Release()
+	for _, r := range c.reservations {
+		r.Release()
+	}
+}
+
 // awaitReady delays requests that arrive while the VM starts, for at most startupGrace after the start. If the store responds, the
 // endpoints are loaded within milliseconds; a refusal would delay the caller for longer.
 func (s *Server) awaitReady(ctx context.Context) {
@@ -414,7 +433,9 @@
 	if c.ctx.Err() != nil || c.Quarantine.Blocked(c.fingerprint) || c.Parts.Blocked(c.sharedParts) {
 		return false
 	}
-	if c.reachedEndpoint && !c.Budget.AllowRetry(c.service) {
+	reserved := c.retryReserved
+	c.retryReserved = false
+	if c.reachedEndpoint && !reserved && !c.Budget.AllowRetry(c.service) {
 		c.detail = appendDetail(c.detail, "retry budget exhausted")
 		return false
 	}
--- a/internal/ingress/plain.go
+++ b/internal/ingress/plain.go
@@ -65,6 +65,14 @@
 	c.giveUp("no endpoint answered", retryAfterFull)
 }
 
+// plainStall returns an error while an idempotent request is without a response for so long that another endpoint should be tried.
+func (c *call) plainStall(x *exchange) error {
+	if time.Since(x.lastProgress) > c.responseTimeout() {
+		return errNoResponse
+	}
+	return nil
+}
+
 // tryPlain sends the request to one endpoint. It returns the endpoint's response, if there is one, and whether the request may be retried at
 // another endpoint.
 func (c *call) tryPlain(attempt *placement.Attempt) (response *plainResponse, retryable bool) {
@@ -74,13 +82,26 @@
 	c.reachedEndpoint = true
 	d := &Dispatch{Team: c.team, Remaining: c.remaining(), ResumeAfter: c.r.ResumeAfter,
 		NewConnection: c.route.Semantics == catalog.AtMostOnce && c.dispatches > 1}
-	ctx, cancel := c.withResponseTimeout(&attempt.Endpoint)
-	defer cancel()
-	a, err := c.Backend.Run(ctx, &attempt.Endpoint, c.r, d)
-	if err != nil {
-		return nil, c.recordFailure(attempt, err)
+	buffers := c.bufferMemory.Reserve(c.service)
+	x := c.startExchange(attempt, d, buffers)
+	defer c.close(x)
+	var other *plainResponse
+	var otherRetryable bool
+	p, replaced := c.receive(x, func() error { return c.plainStall(x) }, func() *candidate {
+		next := c.Fleet.PlaceCall(c.service, c.excluded)
+		if next == nil {
+			return nil
+		}
+		return &candidate{run: func() { other, otherRetryable = c.tryPlain(next) }, abandon: func() { next.Done(placement.Abandoned) }}
+	})
+	if replaced {
+		return other, otherRetryable
 	}
-	defer a.Body.Close()
+	a, body, err := p.answer, p.bytes, p.err
+	if a == nil {
+		return other, c.recordFailure(attempt, err)
+	}
+	c.reservations = append(c.reservations, buffers)
 	if a.NotRun {
 		drain(a.Body)
 		c.recordRefusal(attempt, a.Misdirected)
@@ -89,9 +110,8 @@
 	c.mayHaveRun = true
 	c.firstResponseAfter = time.Since(c.r.Arrived)
 	c.countUsage()
-	body, err := c.buffers.ReadAll(a.Body, maxResponseBytes)
 	if err != nil {
-		return nil, c.recordFailure(attempt, &upstream.SendError{MaySent: true, Err: err})
+		return other, c.recordFailure(attempt, &upstream.SendError{MaySent: true, Err: err})
 	}
 	if !a.Signed && a.Status < http.StatusMultipleChoices {
 		return nil, c.recordFailure(attempt, &upstream.SendError{MaySent: true, Err: upstream.ErrMalformed})
@@ -99,6 +119,10 @@
 	if eventstream.IsBrokenOff(a.Header, body) {
 		return nil, c.recordFailure(attempt, &upstream.SendError{MaySent: true, Err: errIncompleteStream})
 	}
+	if a.Status < http.StatusInternalServerError && !c.adopt() {
+		attempt.Done(placement.Abandoned)
+		return nil, false
+	}
 	retryable = c.recordResponse(attempt, a)
 	if c.mustReplace(a) {
 		return nil, false
@@ -130,7 +154,11 @@
 	if c.ctx.Err() != nil {
 		attempt.Done(placement.Abandoned)
 		c.mayHaveRun = c.mayHaveRun || !unsent(err)
-		c.detail = appendDetail(c.detail, "request ended while waiting for "+attempt.Endpoint.ID)
+		reason := "request ended"
+		if context.Cause(c.ctx) == errWentOn {
+			reason = errWentOn.Error()
+		}
+		c.detail = appendDetail(c.detail, reason+" while waiting for "+attempt.Endpoint.ID)
 		return false
 	}
 	c.detail = appendDetail(c.detail, attempt.Endpoint.ID+": "+err.Error())
@@ -163,20 +191,20 @@
 		c.Log.Warn().Str("request", c.r.ID).Str("endpoint", e.ID).Uint64("fingerprint", c.fingerprint).Msg("request quarantined")
 	}
 	c.sawCrash = true
-	c.detail = appendDetail(c.detail, fmt.Sprintf("%s crashed after %d events", e.ID, c.events.Completed))
-	if c.events.Completed > maxSuspectEvents {
+	c.detail = appendDetail(c.detail, fmt.Sprintf("%s crashed after %d events", e.ID, c.eventCount))
+	if c.eventCount > maxSuspectEvents {
 		return
 	}
 	c.Parts.RecordCrash(c.sharedParts, retry.CrashKey(e.ID, e.StartedAtMS))
 }
 
 // probeReachable reports whether an endpoint accepts connections. If it does not, the fleet avoids it for a time.
-func (c *call) probeReachable(ctx context.Context, e *catalog.Endpoint) bool {
+func (s *Server) probeReachable(ctx context.Context, e *catalog.Endpoint) bool {
 	probeCtx, cancel := context.WithTimeout(ctx, crashProbeTimeout)
 	defer cancel()
-	if c.Backend.IsReachable(probeCtx, e) || ctx.Err() != nil {
+	if s.Backend.IsReachable(probeCtx, e) || ctx.Err() != nil {
 		return true
 	}
-	c.Fleet.ReportUnreachable(e.ID)
+	s.Fleet.ReportUnreachable(e.ID)
 	return false
 }
--- a/internal/ingress/stall.go
+++ b/internal/ingress/stall.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -11,10 +9,11 @@
 	"crocusglade.example/crocusglade/internal/catalog"
 	"crocusglade.example/crocusglade/internal/ctxtime"
 	"crocusglade.example/crocusglade/internal/placement"
+	"crocusglade.example/crocusglade/internal/retry"
 )
 
 const (
-	// stallCheckInterval is how often a stream is checked for a stall.
+	// stallCheckInterval is how often an exchange that can be replaced is checked for a stall.
 	stallCheckInterval = 200 * time.Millisecond
 	// engineSilenceLimit is the time without data from an engine on any connection of this VM after which the engine counts as silent.
 	engineSilenceLimit = 900 * time.Millisecond
@@ -26,52 +25,125 @@
 	// the response or only be busy. Callers disconnect after two seconds or eight gaps, whichever is longer.
 	minStallEngineActive    = 1200 * time.Millisecond
 	gapsToStallEngineActive = 5
-	// An idempotent request or resumable stream without a response is retried at another endpoint after responseTimeoutFactor times the route's objective or
+	// An idempotent request or resumable stream without a response is tried at another endpoint after responseTimeoutFactor times the route's objective or
 	// minResponseTimeout, whichever is longer. Nearly all responses arrive within the objective, and the queues of endpoints are shorter.
 	responseTimeoutFactor = 3
 	minResponseTimeout    = 400 * time.Millisecond
+	// silenceProbeDelay is the time without progress after which an endpoint is probed, so that new requests avoid it if it accepts no
+	// connection.
+	silenceProbeDelay = time.Second
+	// crashConfirmDelay is how long after a first failed probe a silent endpoint must still accept no connection to count as crashed. A sound
+	// endpoint may be silent for a second or so.
+	crashConfirmDelay = 2 * time.Second
 )
 
 var (
 	errStalled    = errors.New("engine stopped sending events")
 	errNoResponse = errors.New("endpoint did not respond within the time limit")
+	// errWentOn ends an exchange with an endpoint because the silent one, which it was to replace, went on.
+	errWentOn = errors.New("the silent endpoint went on")
 )
 
-// stallWatch cancels an exchange with an engine that has become silent or has lost the response, if another engine can take over the
-// request. Without it the caller would wait until the deadline.
-type stallWatch struct {
-	ctx    context.Context
-	cancel context.CancelCauseFunc
-	// startedAt has a monotonic clock reading, because the wall clock may jump.
-	startedAt time.Time
-	// lastActivity is when the engine last sent a part of the response, in nanoseconds after startedAt; 0 before the first part.
-	lastActivity atomic.Int64
+// receive waits for the next part of an exchange. While stalled returns an error, it tries to replace the exchange by one that place prepares; if
+// that succeeds, it returns replaced, and the request has been handled as far as the other exchange got.
+func (c *call) receive(x *exchange, stalled func() error, place func() *candidate) (p part, replaced bool) {
+	interval := silenceProbeDelay
+	if c.route.Repeatable() {
+		interval = stallCheckInterval
+	}
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+	for {
+		select {
+		case p = <-x.parts:
+			if p.completed > 0 {
+				x.lastProgress, x.progressed = time.Now(), true
+			}
+			return p, false
+		case <-c.ctx.Done():
+			return part{err: context.Cause(c.ctx)}, false
+		case <-timer.C:
+		}
+		c.probeSilent(x)
+		if cause := stalled(); cause != nil && c.canFailOver(x) && c.replace(x, cause, place) {
+			return part{}, true
+		}
+		timer.Reset(interval)
+	}
+}
+
+// candidate is an attempt at another endpoint that may replace a silent one.
+type candidate struct {
+	// run executes the attempt. It calls adopt before it relays the response.
+	run func()
+	// abandon ends it without an exchange.
+	abandon func()
 }
 
-// watchStall starts the watch of a plan's decode engine. It never cancels requests that must not be repeated.
-func (c *call) watchStall(plan *placement.Plan, st *streamState) *stallWatch {
-	w := &stallWatch{startedAt: time.Now()}
-	w.ctx, w.cancel = context.WithCancelCause(c.ctx)
-	if !c.route.Repeatable() {
-		return w
+// replace tries another endpoint while the exchange with a silent one goes on, and keeps the one that responds first: silence alone is no
+// reason to end a request. It returns whether the other one has replaced it.
+func (c *call) replace(x *exchange, cause error, place func() *candidate) bool {
+	c.excluded[x.attempt.Endpoint.ID] = true
+	other := place()
+	if other == nil {
+		return false
 	}
-	stall, stallEngineActive := max(minStall, gapsToStall*c.route.EventGap), max(minStallEngineActive, gapsToStallEngineActive*c.route.EventGap)
-	firstEventLimit, canFailOver := c.firstEventLimit(plan), c.failoverCheck(&plan.Decode.Endpoint)
-	go func() {
-		for ctxtime.Sleep(w.ctx, stallCheckInterval) {
-			idle, responded := w.idleTime()
-			lost := !responded && idle > firstEventLimit
-			stalled := responded && st.started.Load() && (idle > stallEngineActive || idle > stall && plan.Decode.IdleTime() > engineSilenceLimit)
-			switch {
-			case !lost && !stalled || !canFailOver():
-			case lost:
-				w.cancel(errNoResponse)
-			default:
-				w.cancel(errStalled)
-			}
+	if !c.takeRetry(cause.Error()) {
+		other.abandon()
+		return false
+	}
+	saved, ctx := c.current, c.ctx
+	contestCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	x.contest(func() { cancel(errWentOn) })
+	c.ctx, c.standby = contestCtx, x
+	other.run()
+	c.ctx, c.standby = ctx, x.standby
+	if x.endContest() {
+		return true
+	}
+	c.current = saved
+	return false
+}
+
+// adopt makes the current exchange replace the silent ones. It returns false if one of them has responded.
+func (c *call) adopt() bool {
+	for x := c.standby; x != nil; x = x.standby {
+		if !x.yield() {
+			c.detail = appendDetail(c.detail, errWentOn.Error())
+			return false
 		}
-	}()
-	return w
+		c.detail = appendDetail(c.detail, x.attempt.Endpoint.ID+": "+x.silenceError().Error())
+		x.attempt.Done(placement.Failed)
+		c.mayHaveRun = true
+		c.possibleRuns++
+		go c.confirmCrash(context.WithoutCancel(c.ctx), silentRequest{endpoint: x.attempt.Endpoint, fingerprint: c.fingerprint, parts: c.sharedParts, suspect: !x.progressed})
+	}
+	c.standby = nil
+	return true
+}
+
+func (x *exchange) silenceError() error {
+	if x.progressed {
+		return errStalled
+	}
+	return errNoResponse
+}
+
+// streamStall returns an error while a stream is silent for so long that another engine should take it over.
+func (c *call) streamStall(x *exchange, plan *placement.Plan) error {
+	idle := time.Since(x.lastProgress)
+	if !x.progressed {
+		if idle > c.firstEventLimit(plan) {
+			return errNoResponse
+		}
+		return nil
+	}
+	stall, stallEngineActive := max(minStall, gapsToStall*c.route.EventGap), max(minStallEngineActive, gapsToStallEngineActive*c.route.EventGap)
+	if idle > stallEngineActive || idle > stall && x.attempt.IdleTime() > engineSilenceLimit {
+		return errStalled
+	}
+	return nil
 }
 
 // firstEventLimit returns the time-out for the first event of a stream.
@@ -82,38 +154,52 @@
 	return c.responseTimeout()
 }
 
-// responseTimeout returns the time-out for the response of a plain service, or its first event, if the request can be retried.
+// responseTimeout returns the time after which a request without a response is tried at another endpoint, if it may be repeated.
 func (c *call) responseTimeout() time.Duration {
 	return max(responseTimeoutFactor*c.route.Objective, minResponseTimeout)
 }
 
-// failoverCheck returns a function that reports whether the request can currently be retried at another endpoint. If it can't, the exchange
-// goes on, because a late response is better than none. The function may be called from another goroutine.
-func (c *call) failoverCheck(from *catalog.Endpoint) func() bool {
-	attemptsLeft, excluded, model := c.possibleRuns+1 < c.route.Attempts, maps.Clone(c.excluded), ""
+// canFailOver reports whether the request can currently be tried at another endpoint. If it can't, the exchange goes on, because a late
+// response is better than none.
+func (c *call) canFailOver(x *exchange) bool {
+	return c.route.Repeatable() && c.possibleRuns+c.openExchanges < c.route.Attempts && c.dispatches < maxDispatches && c.hasOther(&x.attempt.Endpoint)
+}
+
+// hasOther reports whether the retry budget and the other endpoints allow to try another one than e.
+func (c *call) hasOther(e *catalog.Endpoint) bool {
+	model := ""
 	if c.r.Prompt != nil {
 		model = c.r.Prompt.Model
 	}
-	return func() bool {
-		return attemptsLeft && c.Budget.RetryAvailable(c.service) && c.Fleet.HasOtherEndpoint(c.service, model, from.ID, excluded)
-	}
+	return c.Budget.RetryAvailable(c.service) && c.Fleet.HasOtherEndpoint(c.service, model, e.ID, c.excluded)
 }
 
-// idleTime returns the time since the engine last sent a part of the response, or since the start, and whether it has sent any.
-func (w *stallWatch) idleTime() (time.Duration, bool) {
-	last := w.lastActivity.Load()
-	return time.Since(w.startedAt) - time.Duration(last), last > 0
+// probeSilent probes the endpoint of a silent exchange once, unless it sends data on other connections.
+func (c *call) probeSilent(x *exchange) {
+	if x.probed || time.Since(x.lastProgress) < silenceProbeDelay || x.attempt.IdleTime() < silenceProbeDelay {
+		return
+	}
+	x.probed = true
+	go c.probeReachable(context.WithoutCancel(c.ctx), &x.attempt.Endpoint)
 }
 
-// recordActivity records that the engine has sent a part of the response.
-func (w *stallWatch) recordActivity() { w.lastActivity.Store(max(int64(time.Since(w.startedAt)), 1)) }
-
-func (w *stallWatch) stop() { w.cancel(nil) }
+// silentRequest is a request that another endpoint took over from a silent one. suspect is false if the endpoint had begun to answer it.
+type silentRequest struct {
+	endpoint    catalog.Endpoint
+	fingerprint uint64
+	parts       []retry.Part
+	suspect     bool
+}
 
-// withResponseTimeout returns a context with a time-out for an endpoint's response if the request can be retried at another endpoint.
-func (c *call) withResponseTimeout(e *catalog.Endpoint) (context.Context, context.CancelFunc) {
-	if c.route.Semantics != catalog.Idempotent || !c.failoverCheck(e)() {
-		return c.ctx, func() {}
+// confirmCrash records that a silent endpoint has crashed, if it accepts no connection for longer than a sound one may be silent.
+func (s *Server) confirmCrash(ctx context.Context, r silentRequest) {
+	if s.probeReachable(ctx, &r.endpoint) || !ctxtime.Sleep(ctx, crashConfirmDelay) || s.probeReachable(ctx, &r.endpoint) {
+		return
+	}
+	if s.Quarantine.RecordCrash(r.fingerprint, r.endpoint.ID) {
+		s.Log.Warn().Str("endpoint", r.endpoint.ID).Uint64("fingerprint", r.fingerprint).Msg("request quarantined")
+	}
+	if r.suspect {
+		s.Parts.RecordCrash(r.parts, retry.CrashKey(r.endpoint.ID, r.endpoint.StartedAtMS))
 	}
-	return context.WithTimeoutCause(c.ctx, c.responseTimeout(), errNoResponse)
 }
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -36,14 +35,16 @@
 
 // streamState is the part of a streamed response that the caller has received. It spans several engines if the stream is resumed.
 type streamState struct {
-	started atomic.Bool
+	started bool
 	// lastEvent is the id of the last event that was sent to the caller.
 	lastEvent string
 	// partialEvent holds the bytes of an event that is not complete yet. It is empty for streams that can't be resumed.
 	partialEvent []byte
 	// resuming is true until the first event of an endpoint that resumes the stream has arrived.
 	resuming bool
-	// moreEvents is true if the last engine broke the stream off inside an event, so that at least one event must follow.
+	// pending is the number of bytes of the incomplete event that the current engine has sent. moreEvents is true if an engine broke the
+	// stream off inside an event, so that at least one event must follow.
+	pending    int
 	moreEvents bool
 }
 
@@ -87,7 +88,7 @@
 // endUnservedStream ends a stream that no endpoint completed. One that has started is broken off, so that it doesn't look complete.
 func (c *call) endUnservedStream(st *streamState) {
 	switch {
-	case st.started.Load():
+	case st.started:
 		c.w.Abort()
 		outcome := "broken_off"
 		if c.callerLeft() {
@@ -118,7 +119,7 @@
 func (c *call) setWaitLimits(st *streamState) {
 	p := c.r.Prompt
 	p.MaxWait, p.MaxTimeToFirstToken = 0, 0
-	if st.started.Load() || c.r.ResumeAfter != "" {
+	if st.started || c.r.ResumeAfter != "" {
 		return
 	}
 	p.MaxTimeToFirstToken = c.remaining()
@@ -168,21 +169,24 @@
 func (c *call) runDecode(plan *placement.Plan, handle *Handle, st *streamState) (done, retryable, misdirected bool) {
 	d := c.newDispatch(plan.Decode)
 	d.Handle = handle
-	d.ResumeAfter, st.resuming = st.lastEvent, st.lastEvent != ""
+	d.ResumeAfter = st.lastEvent
 	c.dispatches++
 	c.reachedEndpoint = true
 	c.endpoint = plan.Decode.Endpoint.ID
-	c.events, c.firstEventAt, c.longAnswer = eventstream.Scanner{}, time.Time{}, false
-	w := c.watchStall(plan, st)
-	defer w.stop()
-	a, err := c.Backend.Run(w.ctx, &plan.Decode.Endpoint, c.r, d)
-	if err != nil {
-		retryable := c.recordFailure(plan.Decode, err)
+	c.eventCount, c.firstEventAt, c.longAnswer = 0, time.Time{}, false
+	x := c.startExchange(plan.Decode, d, nil)
+	defer c.close(x)
+	p, replaced := c.receiveStream(x, plan, st, &done, &retryable)
+	if replaced {
+		return done, retryable, false
+	}
+	if p.err != nil {
+		retryable := c.recordFailure(plan.Decode, p.err)
 		c.excluded[plan.Decode.Endpoint.ID] = true
 		c.freeHandle(handle)
 		return false, retryable, false
 	}
-	defer a.Body.Close()
+	a := p.answer
 	if a.NotRun {
 		drain(a.Body)
 		c.recordRefusal(plan.Decode, a.Misdirected)
@@ -191,10 +195,21 @@
 		}
 		return false, true, a.Misdirected
 	}
-	done, retryable = c.relayResponse(plan, a, st, w)
+	done, retryable = c.relayResponse(x, plan, a, st)
 	return done, retryable, false
 }
 
+// receiveStream is receive for a stream. If another engine replaces the exchange, done and retryable are set to how that ended.
+func (c *call) receiveStream(x *exchange, plan *placement.Plan, st *streamState, done, retryable *bool) (part, bool) {
+	return c.receive(x, func() error { return c.streamStall(x, plan) }, func() *candidate {
+		next := c.placeStream(st)
+		if next == nil || next.LimitExcess > 0 {
+			return nil
+		}
+		return &candidate{run: func() { *done, *retryable = c.tryEngine(next, st) }, abandon: next.Abandon}
+	})
+}
+
 // runPrefill makes the plan's prefill engine prefill the prompt. It returns the handle of the KV cache, and false if that failed.
 func (c *call) runPrefill(plan *placement.Plan) (*Handle, bool) {
 	attempt := plan.Prefill
@@ -207,12 +222,7 @@
 	}
 	c.dispatches++
 	c.reachedEndpoint = true
-	ctx, cancel := c.ctx, func() {}
-	if c.Budget.RetryAvailable(c.service) && c.Fleet.HasOtherEndpoint(c.service, c.r.Prompt.Model, attempt.Endpoint.ID, c.excluded) {
-		ctx, cancel = context.WithTimeoutCause(c.ctx, placement.FirstTokenLimit(plan.Predicted), errNoResponse)
-	}
-	defer cancel()
-	handle, status, err := c.Backend.Prefill(ctx, &attempt.Endpoint, c.r, c.newDispatch(attempt))
+	handle, status, err := c.prefillUntilStall(attempt, placement.FirstTokenLimit(plan.Predicted))
 	switch {
 	case c.ctx.Err() != nil:
 		attempt.Done(placement.Abandoned)
@@ -236,6 +246,37 @@
 	return nil, false
 }
 
+// prefillUntilStall makes an engine prefill the prompt. After limit it cancels the prefill, if a retry elsewhere can be reserved: until then a late
+// handle is better than none.
+func (c *call) prefillUntilStall(attempt *placement.Attempt, limit time.Duration) (*Handle, int, error) {
+	type result struct {
+		handle *Handle
+		status int
+		err    error
+	}
+	ctx, cancel := context.WithCancelCause(c.ctx)
+	defer cancel(nil)
+	results := make(chan result, 1)
+	go func() {
+		handle, status, err := c.Backend.Prefill(ctx, &attempt.Endpoint, c.r, c.newDispatch(attempt))
+		results <- result{handle, status, err}
+	}()
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	for {
+		select {
+		case r := <-results:
+			return r.handle, r.status, r.err
+		case <-timer.C:
+		}
+		if !c.retryReserved && c.dispatches < maxDispatches && c.hasOther(&attempt.Endpoint) && c.Budget.AllowRetry(c.service) {
+			c.retryReserved = true
+			cancel(errNoResponse)
+		}
+		timer.Reset(stallCheckInterval)
+	}
+}
+
 // newDispatch returns the parameters of a dispatch of a stream. Only engines know priorities.
 func (c *call) newDispatch(attempt *placement.Attempt) *Dispatch {
 	return &Dispatch{Team: c.team, Remaining: c.remaining(), HasPriority: c.hasPrompt(), FetchFrom: attempt.FetchFrom,
@@ -256,7 +297,7 @@
 
 // relayResponse streams an engine's response to the caller. It returns whether the response is complete, and if not, whether another
 // engine may be tried.
-func (c *call) relayResponse(plan *placement.Plan, a *Answer, st *streamState, w *stallWatch) (done, retryable bool) {
+func (c *call) relayResponse(x *exchange, plan *placement.Plan, a *Answer, st *streamState) (done, retryable bool) {
 	attempt := plan.Decode
 	c.mayHaveRun = true
 	if a.Status >= http.StatusMultipleChoices {
@@ -265,11 +306,21 @@
 	if !a.Signed {
 		return false, c.recordFailure(attempt, &upstream.SendError{MaySent: true, Err: upstream.ErrMalformed})
 	}
-	buf := make([]byte, streamBuffer)
-	firstRead := true
-	for {
-		n, err := a.Body.Read(buf)
-		if n > 0 {
+	if replaces := c.standby != nil; !c.adopt() {
+		attempt.Done(placement.Abandoned)
+		return false, false
+	} else if replaces {
+		c.dropPartialEvent(st)
+	}
+	st.resuming = st.lastEvent != ""
+	x.receiveStream(a.Body)
+	for firstRead := true; ; {
+		p, replaced := c.receiveStream(x, plan, st, &done, &retryable)
+		if replaced {
+			return done, retryable
+		}
+		err := p.err
+		if len(p.bytes) > 0 {
 			if firstRead {
 				firstRead = false
 				attempt.RecordFirstToken()
@@ -277,13 +328,12 @@
 				c.countUsage()
 			}
 			// Bytes that complete no event are no sign of progress: the engine may send them without end.
-			completed, end := c.events.Scan(buf[:n])
-			if completed > 0 {
-				w.recordActivity()
+			if p.completed > 0 {
 				attempt.RecordActivity()
-				c.recordLongAnswer()
+				c.recordEvents(p.completed)
 			}
-			forwardErr := c.forward(st, a, buf[:n], end)
+			st.moreEvents = st.moreEvents && c.eventCount == 0
+			forwardErr := c.forward(st, a, p.bytes, p.end)
 			switch {
 			case errors.Is(forwardErr, errNotResumed), errors.Is(forwardErr, buffer.ErrTooLarge):
 				err = forwardErr
@@ -292,8 +342,9 @@
 				c.detail = appendDetail(c.detail, "write to caller: "+forwardErr.Error())
 				return false, false
 			}
+			st.pending = p.pending
 		}
-		if c.events.Pending > maxEventBytes {
+		if st.pending > maxEventBytes {
 			err = errEventTooLarge
 		}
 		if err == io.EOF && c.isIncomplete(a, st) {
@@ -303,19 +354,23 @@
 			return c.completeStream(attempt, a, st), false
 		}
 		if err != nil {
-			if w.ctx.Err() != nil {
-				err = context.Cause(w.ctx)
-			}
-			_ = c.holdBack(st, nil) // can't fail, since it needs no memory
-			st.moreEvents = c.events.Pending > 0
+			c.dropPartialEvent(st)
 			c.excluded[attempt.Endpoint.ID] = true
 			return false, c.recordFailure(attempt, &upstream.SendError{MaySent: true, Err: err})
 		}
 	}
 }
 
-// recordLongAnswer records an answer that goes on for longAnswer as a proof that the prompt crashes no engine.
-func (c *call) recordLongAnswer() {
+// dropPartialEvent forgets the bytes of an event that the engine did not complete.
+func (c *call) dropPartialEvent(st *streamState) {
+	_ = c.holdBack(st, nil) // can't fail, since it needs no memory
+	st.moreEvents = st.moreEvents || st.pending > 0
+	st.pending = 0
+}
+
+// recordEvents counts events, and records an answer that goes on for longAnswer as a proof that the prompt crashes no engine.
+func (c *call) recordEvents(completed int) {
+	c.eventCount += completed
 	if c.firstEventAt.IsZero() {
 		c.firstEventAt = time.Now()
 	}
@@ -334,7 +389,7 @@
 	}
 	c.excluded[attempt.Endpoint.ID] = true
 	retryable = c.recordResponse(attempt, a)
-	if st.started.Load() || retryable || c.mustReplace(a) {
+	if st.started || retryable || c.mustReplace(a) || c.standby != nil {
 		return false, retryable
 	}
 	c.w.WriteAnswer(a.Status, a.Header, body)
@@ -377,10 +432,10 @@
 
 // startStream sends the header of the stream to the caller. Later calls have no effect.
 func (c *call) startStream(st *streamState, a *Answer) {
-	if st.started.Load() {
+	if st.started {
 		return
 	}
-	st.started.Store(true)
+	st.started = true
 	c.firstResponseAfter = time.Since(c.r.Arrived)
 	c.w.StartStream(a.Status, a.Header)
 }
@@ -408,7 +463,7 @@
 
 // isIncomplete reports whether a stream that the engine ended regularly lacks events or the end of one.
 func (c *call) isIncomplete(a *Answer, st *streamState) bool {
-	return c.events.Pending > 0 || c.events.Completed == 0 && (a.EndsWithConnection || st.moreEvents)
+	return st.pending > 0 || c.eventCount == 0 && (a.EndsWithConnection || st.moreEvents)
 }
 
 // acceptsNext reports whether complete events may continue the stream. The first of a resumed stream must have an id, or be a comment: bytes
--- a/internal/placement/attempt.go
+++ b/internal/placement/attempt.go
@@ -25,6 +25,14 @@
 	createdAt time.Time
 }
 
+// Abandon ends the plan's attempts, none of which has started an exchange.
+func (p *Plan) Abandon() {
+	if p.Prefill != nil {
+		p.Prefill.Done(Abandoned)
+	}
+	p.Decode.Done(Abandoned)
+}
+
 // RecordFirstToken records that the first token has arrived. The error of the prediction, if there is one, corrects later predictions.
 func (p *Plan) RecordFirstToken() {
 	if p.createdAt.IsZero() {
