upstream: the kernel doesn't end requests to silent endpoints

Cause: connections to endpoints had a TCP_USER_TIMEOUT of 1 s. Change: 30 s; how long a request waits is up to its sender, which tries repeatable requests elsewhere while the silent endpoint goes on.

TestUploadToSilentEndpointIsNotCut failed before after 1.27 s.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -28,8 +28,9 @@
 	// dialTimeout is two orders of magnitude above the time that a dial takes on an idle network, and short enough to try another
 	// endpoint within the shortest latency objective.
 	dialTimeout = 400 * time.Millisecond
-	// userTimeout is the TCP_USER_TIMEOUT: a connection fails when sent bytes stay unacknowledged for longer.
-	userTimeout = time.Second
+	// userTimeout is the TCP_USER_TIMEOUT: a connection fails when sent bytes stay unacknowledged for longer. It is longer than requests
+	// wait, because a sound endpoint may be silent for a second or so. The sender of a request decides how long it waits.
+	userTimeout = 30 * time.Second
 	// maxHeaderBytes bounds the header of a response.
 	maxHeaderBytes = 64 << 10
 	// maxIdleConnsPerAddress bounds the idle connections to one address.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -378,3 +378,20 @@
 		t.Error("the connection is idle and reusable")
 	}
 }
+
+// Guards against requests that the kernel ends because a sound endpoint is silent for a second or so and doesn't read its connections.
+func TestUploadToSilentEndpointIsNotCut(t *testing.T) {
+	const silence = 2500 * time.Millisecond
+	addr := startServer(t, func(_ int, c *net.TCPConn, br *bufio.Reader) {
+		time.Sleep(silence)
+		if id, body, err := readRequest(br); err == nil {
+			writeResponse(c, id, fmt.Sprint(len(body)))
+		}
+	})
+	r := newRequest("r1")
+	r.Body = make([]byte, 32<<20) // more than the buffers of both sockets hold
+	body, _, err := exchange(t, New(idHeader), addr, r)
+	if err != nil || body != fmt.Sprint(len(r.Body)) {
+		t.Errorf("response %q, %v", body, err)
+	}
+}
