ingress: another endpoint takes over at its first event, not at its head

Cause: a head was taken for progress, and the state of a contest lived on after it. Change: only complete events, and responses that can be passed on, count as progress, on both sides. The receiving goroutine holds incomplete events back, so it reads on while nobody waits for its parts. The replaced exchange is closed at once. One contest goes on at a time. A prefill is cancelled only when the plan for the next attempt stands.

--- a/internal/buffer/memory.go
+++ b/internal/buffer/memory.go
@@ -25,6 +25,9 @@
 // ErrTooLarge means that a response exceeds its bound, or the memory for buffers.
 var ErrTooLarge = errors.New("endpoint's response is too large for its limit or for the memory of this process; check the endpoint, or limit the size of its responses")
 
+// ErrReleased means that the request whose response was buffered has ended.
+var ErrReleased = errors.New("the request has ended; nothing can be buffered for it any more")
+
 // Memory is the memory for the buffers of a process. It is safe for concurrent use.
 type Memory struct {
 	maxBytes int64
@@ -60,23 +63,31 @@
 	return true
 }
 
-// Reservation is the memory for the buffers of one request. One goroutine uses it at a time.
+// Reservation is the memory for the buffers of one request. It is safe for concurrent use.
 type Reservation struct {
 	memory *Memory
 	owner  string
-	bytes  int64
+
+	mu       sync.Mutex
+	bytes    int64
+	released bool
 }
 
 // Reserve returns an empty reservation. owner is the service or the endpoint that sends the bytes.
 func (m *Memory) Reserve(owner string) *Reservation { return &Reservation{memory: m, owner: owner} }
 
 // Resize reserves or releases memory for a buffer that changes its size. It returns ErrTooLarge, and changes nothing, if there is too little
-// memory.
+// memory, and ErrReleased after Release.
 func (r *Reservation) Resize(oldSize, newSize int) error {
 	n := int64(max(newSize-unreservedBytes, 0) - max(oldSize-unreservedBytes, 0))
 	if n == 0 {
 		return nil
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.released {
+		return ErrReleased
+	}
 	if !r.memory.add(r.owner, n) {
 		return ErrTooLarge
 	}
@@ -84,8 +95,11 @@
 	return nil
 }
 
-// Release releases all memory of the reservation.
+// Release releases all memory of the reservation. Later calls have no effect.
 func (r *Reservation) Release() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.released = true
 	r.memory.add(r.owner, -r.bytes)
 	r.bytes = 0
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -239,20 +239,18 @@
 	// mayHaveRun is set once an endpoint may have started to run the request.
 	mayHaveRun   bool
 	usageCounted bool
-	// openExchanges counts the exchanges in progress: one, and the silent ones that it is to replace. standby is the last of those.
+	// openExchanges counts the exchanges in progress. standby is the silent one that the current one is to replace; nil for none.
 	openExchanges int
 	standby       *exchange
 	current
-	// retryReserved is set if a retry was taken from the budget before the last exchange was cancelled.
-	retryReserved bool
+	// nextPlan is the plan for the next attempt, whose retry is taken from the budget; nil for none.
+	nextPlan *placement.Plan
 	// freeAfter is the Retry-After time of a request that is refused because of pauses; 0 if it is not.
 	freeAfter time.Duration
 	// pauseWaitEnds is until when the request waits for the end of a pause; zero until it waits.
 	pauseWaitEnds time.Time
-	// buffers is the memory for the buffers of the request. It is set when the request is admitted. reservations is that of buffered
-	// responses.
-	buffers      *buffer.Reservation
-	reservations []*buffer.Reservation
+	// buffers is the memory for the buffers of the request. It is set when the request is admitted.
+	buffers *buffer.Reservation
 	// firstResponseAfter is the time from the request's arrival to the first part of its response; 0 before there is one.
 	firstResponseAfter time.Duration
 	// detail is for the log.
@@ -270,6 +268,8 @@
 	eventCount   int
 	firstEventAt time.Time
 	longAnswer   bool
+	// resuming is true until the first event of an endpoint that resumes the stream has arrived.
+	resuming bool
 	// The following fields are for the log.
 	endpoint        string
 	prefillEndpoint string
@@ -291,7 +291,7 @@
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
 	c.ctx, c.buffers = ctx, s.bufferMemory.Reserve(c.service)
-	defer c.releaseBuffers()
+	defer c.buffers.Release()
 	if c.route.Semantics == catalog.Stream || c.hasPrompt() {
 		c.serveStream()
 		return
@@ -299,13 +299,6 @@
 	c.servePlain()
 }
 
-func (c *call) releaseBuffers() {
-	c.buffers.Release()
-	for _, r := range c.reservations {
-		r.Release()
-	}
-}
-
 // awaitReady delays requests that arrive while the VM starts, for at most startupGrace after the start. If the store responds, the
 // endpoints are loaded within milliseconds; a refusal would delay the caller for longer.
 func (s *Server) awaitReady(ctx context.Context) {
@@ -433,9 +426,10 @@
 	if c.ctx.Err() != nil || c.Quarantine.Blocked(c.fingerprint) || c.Parts.Blocked(c.sharedParts) {
 		return false
 	}
-	reserved := c.retryReserved
-	c.retryReserved = false
-	if c.reachedEndpoint && !reserved && !c.Budget.AllowRetry(c.service) {
+	if c.nextPlan != nil {
+		return true
+	}
+	if c.reachedEndpoint && !c.Budget.AllowRetry(c.service) {
 		c.detail = appendDetail(c.detail, "retry budget exhausted")
 		return false
 	}
--- a/internal/ingress/plain.go
+++ b/internal/ingress/plain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -82,8 +83,7 @@
 	c.reachedEndpoint = true
 	d := &Dispatch{Team: c.team, Remaining: c.remaining(), ResumeAfter: c.r.ResumeAfter,
 		NewConnection: c.route.Semantics == catalog.AtMostOnce && c.dispatches > 1}
-	buffers := c.bufferMemory.Reserve(c.service)
-	x := c.startExchange(attempt, d, buffers)
+	x := c.startExchange(attempt, d, buffered)
 	defer c.close(x)
 	var other *plainResponse
 	var otherRetryable bool
@@ -97,37 +97,42 @@
 	if replaced {
 		return other, otherRetryable
 	}
-	a, body, err := p.answer, p.bytes, p.err
+	a := p.answer
 	if a == nil {
-		return other, c.recordFailure(attempt, err)
+		return other, c.recordFailure(attempt, p.err)
 	}
-	c.reservations = append(c.reservations, buffers)
 	if a.NotRun {
-		drain(a.Body)
 		c.recordRefusal(attempt, a.Misdirected)
-		return nil, true
+		return other, true
 	}
 	c.mayHaveRun = true
 	c.firstResponseAfter = time.Since(c.r.Arrived)
 	c.countUsage()
-	if err != nil {
+	if err := c.checkPlain(&p); err != nil {
 		return other, c.recordFailure(attempt, &upstream.SendError{MaySent: true, Err: err})
 	}
-	if !a.Signed && a.Status < http.StatusMultipleChoices {
-		return nil, c.recordFailure(attempt, &upstream.SendError{MaySent: true, Err: upstream.ErrMalformed})
-	}
-	if eventstream.IsBrokenOff(a.Header, body) {
-		return nil, c.recordFailure(attempt, &upstream.SendError{MaySent: true, Err: errIncompleteStream})
-	}
-	if a.Status < http.StatusInternalServerError && !c.adopt() {
-		attempt.Done(placement.Abandoned)
+	if p.isProgress() && !c.adopt() {
+		c.recordLostContest(attempt, true)
 		return nil, false
 	}
 	retryable = c.recordResponse(attempt, a)
 	if c.mustReplace(a) {
 		return nil, false
 	}
-	return &plainResponse{status: a.Status, header: a.Header, body: body}, retryable
+	return &plainResponse{status: a.Status, header: a.Header, body: p.bytes}, retryable
+}
+
+// checkPlain returns an error if a response of a plain service can't be passed on.
+func (c *call) checkPlain(p *part) error {
+	switch {
+	case p.err != io.EOF:
+		return p.err
+	case !p.answer.Signed && p.answer.Status < http.StatusMultipleChoices:
+		return upstream.ErrMalformed
+	case eventstream.IsBrokenOff(p.answer.Header, p.bytes):
+		return errIncompleteStream
+	}
+	return nil
 }
 
 // recordResponse records the outcome of an endpoint's response that isn't a refusal without a run. It returns whether the request may be
@@ -151,14 +156,14 @@
 
 // recordFailure records a broken exchange with an endpoint. It returns whether the request may be retried at another endpoint.
 func (c *call) recordFailure(attempt *placement.Attempt, err error) (retryable bool) {
+	if c.lostContest() {
+		c.recordLostContest(attempt, !unsent(err))
+		return false
+	}
 	if c.ctx.Err() != nil {
 		attempt.Done(placement.Abandoned)
 		c.mayHaveRun = c.mayHaveRun || !unsent(err)
-		reason := "request ended"
-		if context.Cause(c.ctx) == errWentOn {
-			reason = errWentOn.Error()
-		}
-		c.detail = appendDetail(c.detail, reason+" while waiting for "+attempt.Endpoint.ID)
+		c.detail = appendDetail(c.detail, "request ended while waiting for "+attempt.Endpoint.ID)
 		return false
 	}
 	c.detail = appendDetail(c.detail, attempt.Endpoint.ID+": "+err.Error())
@@ -174,6 +179,17 @@
 	return c.route.Repeatable() && c.possibleRuns < c.route.Attempts
 }
 
+// recordLostContest ends an attempt because the silent endpoint went on, which it was to replace. The endpoint may be tried again.
+func (c *call) recordLostContest(attempt *placement.Attempt, sent bool) {
+	attempt.Done(placement.Abandoned)
+	c.detail = appendDetail(c.detail, "left "+attempt.Endpoint.ID+" because "+errWentOn.Error())
+	delete(c.excluded, attempt.Endpoint.ID)
+	if sent {
+		c.mayHaveRun = true
+		c.possibleRuns++
+	}
+}
+
 // unsent reports whether an exchange failed before any byte of the request was sent.
 func unsent(err error) bool {
 	var sendErr *upstream.SendError
--- a/internal/ingress/stall.go
+++ b/internal/ingress/stall.go
@@ -60,8 +60,6 @@
 				x.lastProgress, x.progressed = time.Now(), true
 			}
 			return p, false
-		case <-c.ctx.Done():
-			return part{err: context.Cause(c.ctx)}, false
 		case <-timer.C:
 		}
 		c.probeSilent(x)
@@ -80,8 +78,8 @@
 	abandon func()
 }
 
-// replace tries another endpoint while the exchange with a silent one goes on, and keeps the one that responds first: silence alone is no
-// reason to end a request. It returns whether the other one has replaced it.
+// replace tries another endpoint while the exchange with a silent one goes on, and keeps the one that makes progress first: silence alone is
+// no reason to end a request. It returns whether the other one has replaced it.
 func (c *call) replace(x *exchange, cause error, place func() *candidate) bool {
 	c.excluded[x.attempt.Endpoint.ID] = true
 	other := place()
@@ -98,7 +96,7 @@
 	x.contest(func() { cancel(errWentOn) })
 	c.ctx, c.standby = contestCtx, x
 	other.run()
-	c.ctx, c.standby = ctx, x.standby
+	c.ctx, c.standby = ctx, nil
 	if x.endContest() {
 		return true
 	}
@@ -106,20 +104,26 @@
 	return false
 }
 
-// adopt makes the current exchange replace the silent ones. It returns false if one of them has responded.
+// lostContest reports whether the silent endpoint went on, which the current exchange was to replace.
+func (c *call) lostContest() bool { return context.Cause(c.ctx) == errWentOn }
+
+// adopt makes the current exchange, which makes progress, replace the silent one, if there is one. It returns false if the silent one went
+// on before.
 func (c *call) adopt() bool {
-	for x := c.standby; x != nil; x = x.standby {
-		if !x.yield() {
-			c.detail = appendDetail(c.detail, errWentOn.Error())
-			return false
-		}
-		c.detail = appendDetail(c.detail, x.attempt.Endpoint.ID+": "+x.silenceError().Error())
-		x.attempt.Done(placement.Failed)
-		c.mayHaveRun = true
-		c.possibleRuns++
-		go c.confirmCrash(context.WithoutCancel(c.ctx), silentRequest{endpoint: x.attempt.Endpoint, fingerprint: c.fingerprint, parts: c.sharedParts, suspect: !x.progressed})
+	x := c.standby
+	if x == nil {
+		return true
+	}
+	if !x.yield() {
+		return false
 	}
 	c.standby = nil
+	c.close(x)
+	c.detail = appendDetail(c.detail, x.attempt.Endpoint.ID+": "+x.silenceError().Error())
+	x.attempt.Done(placement.Failed)
+	c.mayHaveRun = true
+	c.possibleRuns++
+	go c.confirmCrash(context.WithoutCancel(c.ctx), silentRequest{endpoint: x.attempt.Endpoint, fingerprint: c.fingerprint, parts: c.sharedParts, suspect: !x.progressed})
 	return true
 }
 
@@ -160,9 +164,10 @@
 }
 
 // canFailOver reports whether the request can currently be tried at another endpoint. If it can't, the exchange goes on, because a late
-// response is better than none.
+// response is better than none. An exchange that is to replace another one isn't replaced itself.
 func (c *call) canFailOver(x *exchange) bool {
-	return c.route.Repeatable() && c.possibleRuns+c.openExchanges < c.route.Attempts && c.dispatches < maxDispatches && c.hasOther(&x.attempt.Endpoint)
+	return c.standby == nil && c.route.Repeatable() && c.possibleRuns+c.openExchanges < c.route.Attempts && c.dispatches < maxDispatches &&
+		c.remaining() > minDispatchTime && c.hasOther(&x.attempt.Endpoint)
 }
 
 // hasOther reports whether the retry budget and the other endpoints allow to try another one than e.
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -12,7 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"crocusglade.example/crocusglade/internal/apierror"
-	"crocusglade.example/crocusglade/internal/buffer"
+	"crocusglade.example/crocusglade/internal/catalog"
 	"crocusglade.example/crocusglade/internal/eventstream"
 	"crocusglade.example/crocusglade/internal/placement"
 	"crocusglade.example/crocusglade/internal/upstream"
@@ -38,13 +38,7 @@
 	started bool
 	// lastEvent is the id of the last event that was sent to the caller.
 	lastEvent string
-	// partialEvent holds the bytes of an event that is not complete yet. It is empty for streams that can't be resumed.
-	partialEvent []byte
-	// resuming is true until the first event of an endpoint that resumes the stream has arrived.
-	resuming bool
-	// pending is the number of bytes of the incomplete event that the current engine has sent. moreEvents is true if an engine broke the
-	// stream off inside an event, so that at least one event must follow.
-	pending    int
+	// moreEvents is true if the last engine broke the stream off inside an event, so that at least one event must follow.
 	moreEvents bool
 }
 
@@ -56,11 +50,15 @@
 		return
 	}
 	st := &streamState{lastEvent: c.r.ResumeAfter}
+	defer c.abandonNextPlan()
 	for {
 		if c.remaining() < minDispatchTime || c.ctx.Err() != nil {
 			break
 		}
-		plan := c.placeStream(st)
+		plan := c.takeNextPlan()
+		if plan == nil {
+			plan = c.placeStream(st)
+		}
 		if plan == nil && c.awaitFreeEndpoint() {
 			continue
 		}
@@ -85,6 +83,19 @@
 	c.endUnservedStream(st)
 }
 
+// takeNextPlan returns the plan that was made for the next attempt, or nil if there is none.
+func (c *call) takeNextPlan() *placement.Plan {
+	plan := c.nextPlan
+	c.nextPlan = nil
+	return plan
+}
+
+func (c *call) abandonNextPlan() {
+	if plan := c.takeNextPlan(); plan != nil {
+		plan.Abandon()
+	}
+}
+
 // endUnservedStream ends a stream that no endpoint completed. One that has started is broken off, so that it doesn't look complete.
 func (c *call) endUnservedStream(st *streamState) {
 	switch {
@@ -136,7 +147,7 @@
 	if plan.Prefill != nil {
 		c.prefillTokens, c.fetchedCache = plan.Prefill.PrefillTokens, plan.Prefill.FetchFrom != ""
 		var ok bool
-		if handle, ok = c.runPrefill(plan); !ok {
+		if handle, ok = c.runPrefill(plan, st); !ok {
 			plan.Decode.Done(placement.Abandoned)
 			return false, c.ctx.Err() == nil
 		}
@@ -172,46 +183,70 @@
 	d.ResumeAfter = st.lastEvent
 	c.dispatches++
 	c.reachedEndpoint = true
-	c.endpoint = plan.Decode.Endpoint.ID
-	c.eventCount, c.firstEventAt, c.longAnswer = 0, time.Time{}, false
-	x := c.startExchange(plan.Decode, d, nil)
+	c.current = current{endpoint: plan.Decode.Endpoint.ID, prefillEndpoint: c.prefillEndpoint, predicted: c.predicted, prefillTokens: c.prefillTokens,
+		fetchedCache: c.fetchedCache, resuming: st.lastEvent != ""}
+	mode := rawPieces
+	if c.route.Resumable {
+		mode = wholeEvents
+	}
+	x := c.startExchange(plan.Decode, d, mode)
 	defer c.close(x)
-	p, replaced := c.receiveStream(x, plan, st, &done, &retryable)
-	if replaced {
-		return done, retryable, false
+	stalled := func() error { return c.streamStall(x, plan) }
+	place := func() *candidate {
+		next := c.placeStream(st)
+		if next == nil || next.LimitExcess > 0 {
+			return nil
+		}
+		return &candidate{run: func() { done, retryable = c.tryEngine(next, st) }, abandon: next.Abandon}
 	}
-	if p.err != nil {
-		retryable := c.recordFailure(plan.Decode, p.err)
+	p, replaced := c.receive(x, stalled, place)
+	switch {
+	case replaced:
+		c.freeHandle(handle)
+		return done, retryable, false
+	case p.answer == nil:
 		c.excluded[plan.Decode.Endpoint.ID] = true
+		retryable = c.recordFailure(plan.Decode, p.err)
 		c.freeHandle(handle)
 		return false, retryable, false
-	}
-	a := p.answer
-	if a.NotRun {
-		drain(a.Body)
-		c.recordRefusal(plan.Decode, a.Misdirected)
-		if !a.Misdirected {
+	case p.answer.NotRun:
+		c.recordRefusal(plan.Decode, p.answer.Misdirected)
+		if !p.answer.Misdirected {
 			c.freeHandle(handle)
 		}
-		return false, true, a.Misdirected
+		return false, true, p.answer.Misdirected
+	}
+	c.mayHaveRun = true
+	if p.answer.Status >= http.StatusMultipleChoices {
+		done, retryable = c.relayFailure(plan.Decode, &p, st)
+		return done, retryable, false
+	}
+	if !p.answer.Signed {
+		return false, c.recordFailure(plan.Decode, &upstream.SendError{MaySent: true, Err: upstream.ErrMalformed}), false
+	}
+	for firstPart := true; ; firstPart = false {
+		if firstPart {
+			c.recordFirstPart(plan)
+		}
+		var more bool
+		if more, done, retryable = c.relayPart(plan, p, st); !more {
+			return done, retryable, false
+		}
+		if p, replaced = c.receive(x, stalled, place); replaced {
+			return done, retryable, false
+		}
 	}
-	done, retryable = c.relayResponse(x, plan, a, st)
-	return done, retryable, false
 }
 
-// receiveStream is receive for a stream. If another engine replaces the exchange, done and retryable are set to how that ended.
-func (c *call) receiveStream(x *exchange, plan *placement.Plan, st *streamState, done, retryable *bool) (part, bool) {
-	return c.receive(x, func() error { return c.streamStall(x, plan) }, func() *candidate {
-		next := c.placeStream(st)
-		if next == nil || next.LimitExcess > 0 {
-			return nil
-		}
-		return &candidate{run: func() { *done, *retryable = c.tryEngine(next, st) }, abandon: next.Abandon}
-	})
+// recordFirstPart records that the first part of a stream has arrived.
+func (c *call) recordFirstPart(plan *placement.Plan) {
+	plan.Decode.RecordFirstToken()
+	plan.RecordFirstToken()
+	c.countUsage()
 }
 
 // runPrefill makes the plan's prefill engine prefill the prompt. It returns the handle of the KV cache, and false if that failed.
-func (c *call) runPrefill(plan *placement.Plan) (*Handle, bool) {
+func (c *call) runPrefill(plan *placement.Plan, st *streamState) (*Handle, bool) {
 	attempt := plan.Prefill
 	c.prefillEndpoint = attempt.Endpoint.ID
 	if c.prefills > 0 && !c.Budget.AllowRetry(c.service) {
@@ -222,10 +257,11 @@
 	}
 	c.dispatches++
 	c.reachedEndpoint = true
-	handle, status, err := c.prefillUntilStall(attempt, placement.FirstTokenLimit(plan.Predicted))
+	handle, status, err := c.prefillUntilStall(attempt, placement.FirstTokenLimit(plan.Predicted), st)
 	switch {
 	case c.ctx.Err() != nil:
 		attempt.Done(placement.Abandoned)
+		return nil, false
 	case err != nil && unsent(err):
 		attempt.Done(placement.Unreachable)
 		c.reachedEndpoint = false
@@ -246,9 +282,9 @@
 	return nil, false
 }
 
-// prefillUntilStall makes an engine prefill the prompt. After limit it cancels the prefill, if a retry elsewhere can be reserved: until then a late
-// handle is better than none.
-func (c *call) prefillUntilStall(attempt *placement.Attempt, limit time.Duration) (*Handle, int, error) {
+// prefillUntilStall makes an engine prefill the prompt. After limit it cancels the prefill if there is a plan for the next attempt, with its
+// retry: until then a late handle is better than none.
+func (c *call) prefillUntilStall(attempt *placement.Attempt, limit time.Duration, st *streamState) (*Handle, int, error) {
 	type result struct {
 		handle *Handle
 		status int
@@ -256,9 +292,9 @@
 	}
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	defer cancel(nil)
-	results := make(chan result, 1)
+	results, d := make(chan result, 1), c.newDispatch(attempt)
 	go func() {
-		handle, status, err := c.Backend.Prefill(ctx, &attempt.Endpoint, c.r, c.newDispatch(attempt))
+		handle, status, err := c.Backend.Prefill(ctx, &attempt.Endpoint, c.r, d)
 		results <- result{handle, status, err}
 	}()
 	timer := time.NewTimer(limit)
@@ -269,14 +305,32 @@
 			return r.handle, r.status, r.err
 		case <-timer.C:
 		}
-		if !c.retryReserved && c.dispatches < maxDispatches && c.hasOther(&attempt.Endpoint) && c.Budget.AllowRetry(c.service) {
-			c.retryReserved = true
+		if c.planNext(&attempt.Endpoint, st) {
 			cancel(errNoResponse)
 		}
 		timer.Reset(stallCheckInterval)
 	}
 }
 
+// planNext makes the plan for the next attempt and takes its retry from the budget, while an engine that prefills the prompt is silent. It
+// returns false if the request can't be tried elsewhere.
+func (c *call) planNext(silent *catalog.Endpoint, st *streamState) bool {
+	if c.nextPlan != nil || c.standby != nil || c.dispatches >= maxDispatches || c.remaining() < minDispatchTime || !c.hasOther(silent) {
+		return false
+	}
+	c.excluded[silent.ID] = true
+	plan := c.placeStream(st)
+	if plan == nil || plan.LimitExcess > 0 {
+		return false
+	}
+	if !c.takeRetry(errNoResponse.Error()) {
+		plan.Abandon()
+		return false
+	}
+	c.nextPlan = plan
+	return true
+}
+
 // newDispatch returns the parameters of a dispatch of a stream. Only engines know priorities.
 func (c *call) newDispatch(attempt *placement.Attempt) *Dispatch {
 	return &Dispatch{Team: c.team, Remaining: c.remaining(), HasPriority: c.hasPrompt(), FetchFrom: attempt.FetchFrom,
@@ -295,77 +349,43 @@
 	}()
 }
 
-// relayResponse streams an engine's response to the caller. It returns whether the response is complete, and if not, whether another
-// engine may be tried.
-func (c *call) relayResponse(x *exchange, plan *placement.Plan, a *Answer, st *streamState) (done, retryable bool) {
+// relayPart sends a part of an engine's stream to the caller. It returns whether more parts must follow; if not, whether the response is
+// complete, and if not, whether another engine may be tried.
+func (c *call) relayPart(plan *placement.Plan, p part, st *streamState) (more, done, retryable bool) {
 	attempt := plan.Decode
-	c.mayHaveRun = true
-	if a.Status >= http.StatusMultipleChoices {
-		return c.relayFailure(attempt, a, st)
-	}
-	if !a.Signed {
-		return false, c.recordFailure(attempt, &upstream.SendError{MaySent: true, Err: upstream.ErrMalformed})
-	}
-	if replaces := c.standby != nil; !c.adopt() {
-		attempt.Done(placement.Abandoned)
-		return false, false
-	} else if replaces {
-		c.dropPartialEvent(st)
-	}
-	st.resuming = st.lastEvent != ""
-	x.receiveStream(a.Body)
-	for firstRead := true; ; {
-		p, replaced := c.receiveStream(x, plan, st, &done, &retryable)
-		if replaced {
-			return done, retryable
-		}
-		err := p.err
-		if len(p.bytes) > 0 {
-			if firstRead {
-				firstRead = false
-				attempt.RecordFirstToken()
-				plan.RecordFirstToken()
-				c.countUsage()
-			}
-			// Bytes that complete no event are no sign of progress: the engine may send them without end.
-			if p.completed > 0 {
-				attempt.RecordActivity()
-				c.recordEvents(p.completed)
-			}
-			st.moreEvents = st.moreEvents && c.eventCount == 0
-			forwardErr := c.forward(st, a, p.bytes, p.end)
-			switch {
-			case errors.Is(forwardErr, errNotResumed), errors.Is(forwardErr, buffer.ErrTooLarge):
-				err = forwardErr
-			case forwardErr != nil:
-				attempt.Done(placement.Abandoned)
-				c.detail = appendDetail(c.detail, "write to caller: "+forwardErr.Error())
-				return false, false
-			}
-			st.pending = p.pending
-		}
-		if st.pending > maxEventBytes {
-			err = errEventTooLarge
-		}
-		if err == io.EOF && c.isIncomplete(a, st) {
-			err = errIncompleteStream
-		}
-		if err == io.EOF {
-			return c.completeStream(attempt, a, st), false
-		}
-		if err != nil {
-			c.dropPartialEvent(st)
-			c.excluded[attempt.Endpoint.ID] = true
-			return false, c.recordFailure(attempt, &upstream.SendError{MaySent: true, Err: err})
+	// Bytes that complete no event are no sign of progress: the engine may send them without end.
+	if p.completed > 0 {
+		attempt.RecordActivity()
+		c.recordEvents(p.completed)
+	}
+	err := p.err
+	if err == io.EOF && c.isIncomplete(&p, st) {
+		err = errIncompleteStream
+	}
+	if len(p.bytes) > 0 || err == io.EOF {
+		forwardErr := c.forward(st, &p)
+		switch {
+		case errors.Is(forwardErr, errNotResumed):
+			err = forwardErr
+		case errors.Is(forwardErr, errWentOn):
+			c.recordLostContest(attempt, true)
+			return false, false, false
+		case forwardErr != nil:
+			attempt.Done(placement.Abandoned)
+			c.detail = appendDetail(c.detail, "write to caller: "+forwardErr.Error())
+			return false, false, false
 		}
 	}
-}
-
-// dropPartialEvent forgets the bytes of an event that the engine did not complete.
-func (c *call) dropPartialEvent(st *streamState) {
-	_ = c.holdBack(st, nil) // can't fail, since it needs no memory
-	st.moreEvents = st.moreEvents || st.pending > 0
-	st.pending = 0
+	switch err {
+	case nil:
+		return true, false, false
+	case io.EOF:
+		c.completeStream(attempt)
+		return false, true, false
+	}
+	st.moreEvents = p.pending > 0
+	c.excluded[attempt.Endpoint.ID] = true
+	return false, false, c.recordFailure(attempt, &upstream.SendError{MaySent: true, Err: err})
 }
 
 // recordEvents counts events, and records an answer that goes on for longAnswer as a proof that the prompt crashes no engine.
@@ -382,51 +402,46 @@
 
 // relayFailure sends an engine's error response to the caller, unless the stream has started, another engine may be tried, or the response
 // must be replaced.
-func (c *call) relayFailure(attempt *placement.Attempt, a *Answer, st *streamState) (done, retryable bool) {
-	body, err := c.buffers.ReadAll(a.Body, maxResponseBytes)
-	if err != nil {
-		return false, c.recordFailure(attempt, &upstream.SendError{MaySent: true, Err: err})
-	}
+func (c *call) relayFailure(attempt *placement.Attempt, p *part, st *streamState) (done, retryable bool) {
 	c.excluded[attempt.Endpoint.ID] = true
-	retryable = c.recordResponse(attempt, a)
-	if st.started || retryable || c.mustReplace(a) || c.standby != nil {
+	if p.err != io.EOF {
+		return false, c.recordFailure(attempt, &upstream.SendError{MaySent: true, Err: p.err})
+	}
+	if st.started && c.standby != nil {
+		return false, c.recordFailure(attempt, &upstream.SendError{MaySent: true, Err: errNotResumed})
+	}
+	if p.isProgress() && !c.adopt() {
+		c.recordLostContest(attempt, true)
+		return false, false
+	}
+	retryable = c.recordResponse(attempt, p.answer)
+	if st.started || retryable || c.mustReplace(p.answer) || c.standby != nil {
 		return false, retryable
 	}
-	c.w.WriteAnswer(a.Status, a.Header, body)
+	c.w.WriteAnswer(p.answer.Status, p.answer.Header, p.bytes)
 	return true, false
 }
 
-// forward sends a part of the response to the caller, of which the first end bytes complete events. For resumable streams it sends
-// complete events only, so that another endpoint can continue after the last one, and returns errNotResumed if the events don't follow
-// those that the caller has.
-func (c *call) forward(st *streamState, a *Answer, p []byte, end int) error {
-	if !c.route.Resumable {
-		c.startStream(st, a)
-		return c.w.WriteEvent(p)
-	}
-	if end == 0 {
-		return c.holdBack(st, append(st.partialEvent, p...))
-	}
-	complete := append(st.partialEvent, p[:end]...)
-	if !st.acceptsNext(complete) {
+// forward sends a part of the response to the caller. For resumable streams it holds complete events, so that another endpoint can continue
+// after the last one; forward returns errNotResumed if the events don't follow those that the caller has, and errWentOn if the silent endpoint
+// went on that the stream's engine was to replace.
+func (c *call) forward(st *streamState, p *part) error {
+	if c.route.Resumable && len(p.bytes) > 0 && !c.acceptsNext(st, p.bytes) {
 		return errNotResumed
 	}
-	c.startStream(st, a)
-	if err := c.w.WriteEvent(complete); err != nil {
-		return err
+	if !c.adopt() {
+		return errWentOn
 	}
-	if id, ok := lastEventID(complete); ok {
-		st.lastEvent = id
+	c.startStream(st, p.answer)
+	if len(p.bytes) == 0 {
+		return nil
 	}
-	return c.holdBack(st, append([]byte(nil), p[end:]...))
-}
-
-// holdBack replaces the bytes of the incomplete event of a stream.
-func (c *call) holdBack(st *streamState, partial []byte) error {
-	if err := c.buffers.Resize(cap(st.partialEvent), cap(partial)); err != nil {
+	if err := c.w.WriteEvent(p.bytes); err != nil {
 		return err
 	}
-	st.partialEvent = partial
+	if id, ok := lastEventID(p.bytes); ok && c.route.Resumable {
+		st.lastEvent = id
+	}
 	return nil
 }
 
@@ -440,20 +455,11 @@
 	c.w.StartStream(a.Status, a.Header)
 }
 
-// completeStream ends a stream that the engine ended regularly, and sends the empty lines after its last event. It returns false if the
-// caller can't be written to.
-func (c *call) completeStream(attempt *placement.Attempt, a *Answer, st *streamState) bool {
+// completeStream records that the engine ended the stream regularly.
+func (c *call) completeStream(attempt *placement.Attempt) {
 	attempt.Done(placement.Served)
 	c.Parts.RecordAnswer(c.sharedParts)
 	c.Quarantine.Clear(c.fingerprint)
-	c.startStream(st, a)
-	if len(st.partialEvent) > 0 {
-		if err := c.w.WriteEvent(st.partialEvent); err != nil {
-			c.detail = appendDetail(c.detail, "write to caller: "+err.Error())
-			return false
-		}
-	}
-	return true
 }
 
 var (
@@ -462,18 +468,19 @@
 )
 
 // isIncomplete reports whether a stream that the engine ended regularly lacks events or the end of one.
-func (c *call) isIncomplete(a *Answer, st *streamState) bool {
-	return st.pending > 0 || c.eventCount == 0 && (a.EndsWithConnection || st.moreEvents)
+func (c *call) isIncomplete(p *part, st *streamState) bool {
+	moreEvents := st.moreEvents || c.standby != nil && c.standby.pendingBytes.Load() > 0
+	return p.pending > 0 || c.eventCount == 0 && (p.answer.EndsWithConnection || moreEvents)
 }
 
 // acceptsNext reports whether complete events may continue the stream. The first of a resumed stream must have an id, or be a comment: bytes
 // of another response have none.
-func (st *streamState) acceptsNext(events []byte) bool {
-	if st.resuming && events[0] != ':' {
+func (c *call) acceptsNext(st *streamState, events []byte) bool {
+	if c.resuming && events[0] != ':' {
 		if _, ok := lastEventID(eventstream.First(events)); !ok {
 			return false
 		}
-		st.resuming = false
+		c.resuming = false
 	}
 	return follows(events, st.lastEvent)
 }
