--- a/internal/netdial/netdial.go
+++ b/internal/netdial/netdial.go
@@ -1,4 +1,4 @@
-// Package netdial configures TCP connections so that an unresponsive peer is detected within seconds, and resets them.
+// Package netdial configures TCP connections so that an unresponsive peer is detected within a bound, and resets them.
 package netdial
 
 import (
@@ -24,8 +24,8 @@
 	}
 }
 
-// NewDialer returns a dialer whose connections fail when the peer stops responding: after userTimeout with unacknowledged bytes, and
-// after a few seconds of unanswered TCP keep-alive probes when idle.
+// NewDialer returns a dialer whose connections fail when the peer stops responding: after userTimeout with unacknowledged bytes, and when
+// idle after unanswered TCP keep-alive probes for userTimeout or a few seconds, whichever is longer.
 func NewDialer(dialTimeout, userTimeout time.Duration) *net.Dialer {
 	return &net.Dialer{Timeout: dialTimeout, Control: UserTimeoutControl(userTimeout),
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}}
