daemon: a repeated SIGTERM doesn't end a drain, and SIGHUP no process

Cause: SIGTERM and SIGINT were taken alike, and a second one for an operator who wants to force the end. SIGHUP had its default action before the first and after the last component was subscribed to it. Change: a repeated SIGTERM is logged. SIGINT during a drain ends the process at once. SIGHUP is caught from the start of main to the end.

--- a/cmd/crocusgladed/main.go
+++ b/cmd/crocusgladed/main.go
@@ -19,6 +19,7 @@
 `
 
 func main() {
+	daemon.KeepHangups()
 	roles := map[string]func(context.Context, []string, io.Writer, io.Writer) int{
 		"gateway": daemon.RunGateway, "controller": daemon.RunController, "node": runNode}
 	if len(os.Args) > 1 {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,7 +24,7 @@
 const (
 	ExitOK     = 0
 	ExitFailed = 1
-	// ExitForced means that a second signal ended the process before its drain was complete.
+	// ExitForced means that SIGINT ended the process before its drain was complete.
 	ExitForced = 3
 )
 
@@ -55,16 +55,20 @@
 }
 
 // Run runs components until one ends, ctx ends, or SIGTERM or SIGINT arrives. After a signal it drains all components, for at most
-// drainLimit, before it cancels them. A second signal during the drain ends the process immediately with ExitForced. Run returns the
-// exit code.
+// drainLimit, before it cancels them. SIGINT during the drain ends the process immediately with ExitForced; a repeated SIGTERM has no effect,
+// because planned stops overlap. Run returns the exit code.
 func Run(ctx context.Context, t *telemetry.Telemetry, drainLimit time.Duration, components []Component) int {
-	signals := make(chan os.Signal, 2)
+	KeepHangups()
+	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	defer signal.Stop(signals)
 	p := &process{components: components, log: t.Log, telemetry: t, drainLimit: drainLimit, signals: signals, exit: os.Exit}
 	return p.run(ctx)
 }
 
+// KeepHangups keeps SIGHUP from ending the process, at any time until its end. Components that reload on SIGHUP subscribe to it themselves.
+func KeepHangups() { signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP) }
+
 func (p *process) run(ctx context.Context) int {
 	var group run.Group
 	for _, component := range p.components {
@@ -116,13 +120,20 @@
 		defer close(done)
 		p.drain(drainCtx)
 	}()
-	select {
-	case <-done:
-	case s := <-p.signals:
-		p.log.Warn().Str("signal", s.String()).Msg("received a second signal, exiting before the drain is complete")
-		p.exit(ExitForced)
+	for {
+		select {
+		case <-done:
+			return errStopped
+		case s := <-p.signals:
+			if s != os.Interrupt {
+				p.log.Info().Str("signal", s.String()).Msg("already draining")
+				continue
+			}
+			p.log.Warn().Str("signal", s.String()).Msg("exiting before the drain is complete")
+			p.exit(ExitForced)
+			return errStopped
+		}
 	}
-	return errStopped
 }
 
 // drain drains the components one after the other, in their order, and counts the requests that are still in progress afterwards.
