--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -196,7 +196,9 @@
 		settling.Go(func() { l.settleClosed(ctx) })
 	}
 	defer func() { notifyAll(l.takeWaiters(), ErrNoCopy) }()
-	retry := time.NewTicker(retryInterval)
+	// A timer that is set again after each copy, not a ticker: the race detector of Go 1.26.8 crashes when a ticker that is already due is
+	// the first timer of a synctest bubble to run.
+	retry := time.NewTimer(retryInterval)
 	defer retry.Stop()
 	for {
 		select {
@@ -208,6 +210,7 @@
 		}
 		batch := l.takeWaiters()
 		notifyAll(batch, l.copyUntilStable(ctx))
+		retry.Reset(retryInterval)
 	}
 }
 
