discovery: an entry that lacks fields names no endpoint

Cause: missing fields became zeros. A known endpoint whose entry still names its service and address is kept, also as leaving. Entries that name none are logged once a version and counted (endpoint_entries_unusable).

--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -18,7 +18,8 @@
 
 // Registry tracks the endpoints by their entries in the store. Its methods may be called concurrently.
 type Registry struct {
-	// Decode decodes an entry. It returns false for an entry without a usable endpoint.
+	// Decode decodes an entry. It returns false for an entry without a usable endpoint, of which only Service, Address
+	// and Draining are used.
 	Decode func(apitypes.Object) (catalog.Endpoint, bool)
 	// SinceStoreRecovery returns how long ago the store recovered from an outage that affected all VMs, and false if there was none.
 	// When only this VM could not read the store, missing entries aren't kept, because those of live endpoints never expired.
@@ -34,17 +35,28 @@
 	// removes the endpoint at once.
 	expired      map[string]catalog.Endpoint
 	expiredUntil bootclock.Instant
+	// unusable holds the versions of the entries without a usable endpoint that were logged, by name.
+	unusable      map[string]uint64
+	unusableCount atomic.Int64
 }
 
+// UnusableEntries returns how many versions of entries named no usable endpoint so far.
+func (r *Registry) UnusableEntries() int64 { return r.unusableCount.Load() }
+
 // ReplaceEntries replaces all entries with those of a list. outage is how long the store couldn't be read before, 0 if it could.
 func (r *Registry) ReplaceEntries(items []apitypes.Object, _ uint64, _ bootclock.Instant, outage time.Duration) {
 	r.mu.Lock()
 	old := r.endpoints
 	r.endpoints = make(map[string]catalog.Endpoint, len(items))
 	for _, o := range items {
-		if e, ok := r.Decode(o); ok {
-			r.endpoints[o.Name] = e
+		e, ok := r.Decode(o)
+		if !ok {
+			r.recordUnusable(o)
+			if e, ok = keepUsable(old[o.Name], e); !ok {
+				continue
+			}
 		}
+		r.endpoints[o.Name] = e
 	}
 	if since, recovered := r.SinceStoreRecovery(); outage > 0 && recovered && since < expiryGrace {
 		r.expired = make(map[string]catalog.Endpoint)
@@ -82,12 +94,19 @@
 	name := ev.Object.Name
 	old, known := r.endpoints[name]
 	e, ok := r.Decode(ev.Object)
+	if !ok && ev.Type != apitypes.EventDelete {
+		r.recordUnusable(ev.Object)
+		e, ok = keepUsable(old, e)
+	}
 	if ev.Type == apitypes.EventDelete || !ok {
 		if known {
 			r.Log.Info().Str("endpoint", name).Str("service", old.Service).Uint64("revision", ev.Revision).Msg("endpoint gone")
 		}
 		delete(r.endpoints, name)
 		delete(r.expired, name)
+		if ev.Type == apitypes.EventDelete {
+			delete(r.unusable, name)
+		}
 		return
 	}
 	if r.endpoints == nil {
@@ -100,6 +119,29 @@
 	r.endpoints[name] = e
 }
 
+// keepUsable returns a known endpoint whose entry lacks fields now but still names its service and address: it may be half written. It returns
+// false for other entries.
+func keepUsable(known, unusable catalog.Endpoint) (catalog.Endpoint, bool) {
+	if known.Service == "" || known.Service != unusable.Service || known.Address != unusable.Address {
+		return catalog.Endpoint{}, false
+	}
+	known.Draining = known.Draining || unusable.Draining
+	return known, true
+}
+
+// recordUnusable counts an entry without a usable endpoint and logs it, once for each version.
+func (r *Registry) recordUnusable(o apitypes.Object) {
+	if version, logged := r.unusable[o.Name]; logged && version == o.Version {
+		return
+	}
+	if r.unusable == nil {
+		r.unusable = make(map[string]uint64)
+	}
+	r.unusable[o.Name] = o.Version
+	r.unusableCount.Add(1)
+	r.Log.Warn().Str("entry", o.Name).Uint64("revision", o.Version).Msg("entry names no usable endpoint; check its writer and its fields")
+}
+
 // publishLocked releases the lock and calls Changed with all endpoints, including those that are kept after they expired.
 func (r *Registry) publishLocked() {
 	list := make([]catalog.Endpoint, 0, len(r.endpoints)+len(r.expired))
--- a/internal/discovery/registry_test.go
+++ b/internal/discovery/registry_test.go
@@ -27,7 +27,10 @@
 	f.Registry = &Registry{Log: zerolog.Nop(), SinceStoreRecovery: func() (time.Duration, bool) { return 0, f.storeOutage },
 		Decode: func(o apitypes.Object) (catalog.Endpoint, bool) {
 			state := string(o.Data)
-			return catalog.Endpoint{ID: o.Name, Service: "s", Draining: state == "leaving"}, state == "ready" || state == "leaving"
+			if !strings.HasPrefix(state, "half") && state != "ready" && state != "leaving" {
+				return catalog.Endpoint{}, false
+			}
+			return catalog.Endpoint{ID: o.Name, Service: "s", Draining: strings.HasSuffix(state, "leaving")}, state == "ready" || state == "leaving"
 		},
 		Changed: func(list []catalog.Endpoint) {
 			var names []string
@@ -104,3 +107,20 @@
 	f.ApplyEvents([]apitypes.Event{{Revision: 2, Type: apitypes.EventPut, Object: object("a", "leaving")}}, 2, bootclock.Now())
 	f.expect(t, "after the event", "")
 }
+
+// Guards against endpoints that are lost because their entry is read while it is half written, or lacks a field for a time. That such an entry
+// says that the endpoint leaves holds.
+func TestEndpointWithUnusableEntryIsKept(t *testing.T) {
+	f := newRegistryFixture()
+	f.ReplaceEntries([]apitypes.Object{object("a", "ready"), object("b", "ready"), object("c", "half")}, 1, bootclock.Now(), 0)
+	f.expect(t, "start", "a b")
+	f.ApplyEvents([]apitypes.Event{{Type: apitypes.EventPut, Object: object("a", "half")}}, 2, bootclock.Now())
+	f.expect(t, "half an entry in an event", "a b")
+	f.ReplaceEntries([]apitypes.Object{object("a", "half"), object("b", "half, leaving")}, 3, bootclock.Now(), 0)
+	f.expect(t, "half entries in a list, one of them leaving", "a")
+	if n := f.UnusableEntries(); n != 3 {
+		t.Errorf("%d unusable entries counted, want 3", n)
+	}
+	f.ApplyEvents([]apitypes.Event{{Type: apitypes.EventDelete, Object: object("a", "")}}, 4, bootclock.Now())
+	f.expect(t, "deletion", "")
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -142,6 +142,9 @@
 	if err := t.ObserveExchange(n.link.OmittedReads, n.incompleteWindows.Load); err != nil {
 		return nil, err
 	}
+	if err := t.ObserveDiscovery(n.registry.UnusableEntries); err != nil {
+		return nil, err
+	}
 	n.fleet.OnNotice = requestMetrics.EndpointNotice
 	parts.SetProbeOwnership(n.link.OwnsProbe)
 	parts.OnChange(func(part retry.Part, blocked bool, crashes int) {
--- a/internal/telemetry/requests.go
+++ b/internal/telemetry/requests.go
@@ -24,6 +24,11 @@
 	return t.observeCounter("log_lines_dropped", "Log lines dropped because standard output was too slow.", read)
 }
 
+// ObserveDiscovery registers a function that returns how many versions of entries named no usable endpoint so far.
+func (t *Telemetry) ObserveDiscovery(unusableEntries func() int64) error {
+	return t.observeCounter("endpoint_entries_unusable", "Versions of store entries that name no usable endpoint.", unusableEntries)
+}
+
 // ObserveExchange registers functions that return what was lost in the exchange between VMs so far: prompt reads that were left out of
 // status messages, and usage windows that were reported without the final counts of some VM.
 func (t *Telemetry) ObserveExchange(omittedReads, incompleteWindows func() int64) error {
