quota: replicated token buckets for team quotas across VMs

Decides without a network or consensus: each VM keeps a replica of a team's bucket and subtracts what others report.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -114,6 +114,28 @@
 	// Priority overrides the priority of the route when HasPriority is set.
 	Priority    int
 	HasPriority bool
+	// Quota is the team's quota over all VMs.
+	Quota Quota
+}
+
+// Quota limits the cost of a team's requests. There is no limit if RatePerSecond is 0.
+type Quota struct {
+	// InTokens is set if the cost is in tokens, else each request costs 1. PlainTokens is the cost of a request without token counts.
+	InTokens    bool
+	PlainTokens int64
+	// RatePerSecond is the cost per second, Burst the cost that may be used at once.
+	RatePerSecond, Burst float64
+}
+
+// Cost returns the cost of a request with the given number of tokens; known is false if the request doesn't state it.
+func (q *Quota) Cost(tokens int64, known bool) int64 {
+	switch {
+	case !q.InTokens:
+		return 1
+	case known:
+		return tokens
+	}
+	return q.PlainTokens
 }
 
 // Limits bounds the requests and connections of callers.
--- /dev/null
+++ b/internal/quota/exchange.go
@@ -0,0 +1,167 @@
+package quota
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// reportedFor is how long a team is reported after its last cost, so that a report reaches the other VMs also when datagrams are lost.
+	reportedFor = 10 * time.Second
+	// maxReportedTeams bounds the teams in one report and so the size of a datagram.
+	maxReportedTeams = 64
+	// minSilence and silentPeriods bound the time without a report after which a VM counts as silent. basePeriod and periodPerVM are the
+	// period of reports, see package vmlink. The time is shorter than that of vmlink, because both sides of a partition grant the whole
+	// bucket until it has passed.
+	minSilence    = 500 * time.Millisecond
+	silentPeriods = 4
+	basePeriod    = 60 * time.Millisecond
+	periodPerVM   = 2 * time.Millisecond
+	// adoptFor is how long a VM that hears others again adopts their levels: one report of each arrives in this time.
+	adoptFor = 500 * time.Millisecond
+	// heardFor is how long the count of VMs heard is kept.
+	heardFor = 20 * time.Millisecond
+)
+
+// TeamReport is what a VM reports about an active team.
+type TeamReport struct {
+	Team string
+	// Spent is the cost granted since the VM's start, less what was given back. Baseline is its value when the team last became active.
+	Spent, Baseline int64
+	// Demand is the cost asked for in the last second, Level the remaining cost in the VM's bucket.
+	Demand, Level float64
+}
+
+// peer is what another VM reported. spent and demand are by team.
+type peer struct {
+	incarnation string
+	heardAt     time.Duration
+	spent       map[string]int64
+	demand      map[string]float64
+}
+
+// Report returns the report for the other VMs. If more teams are active than a report may hold, it names those with the most demand.
+func (l *Limiter) Report() []TeamReport {
+	teams := *l.teams.Load()
+	if len(teams) == 0 {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Now()
+	part := l.partLocked(now)
+	var reports []TeamReport
+	for name, b := range teams {
+		b.refill(now, part) // also for idle teams, whose level would otherwise be refilled at the part that was valid at their last request
+		l.noteLocked(name, b, now, false)
+		if !b.isActive(now) {
+			continue
+		}
+		reports = append(reports, TeamReport{Team: name, Spent: b.spent, Baseline: b.baseline, Demand: b.demand.rate(now), Level: b.level})
+	}
+	slices.SortFunc(reports, func(a, b TeamReport) int {
+		return cmp.Or(cmp.Compare(b.Demand, a.Demand), cmp.Compare(a.Team, b.Team))
+	})
+	return reports[:min(len(reports), maxReportedTeams)]
+}
+
+// MergeReport applies the report of another VM. The first report of an incarnation and the first after a silence only set the baseline of
+// later ones, because this VM can't tell which of the cost was granted from its part of the bucket.
+func (l *Limiter) MergeReport(vm, incarnation string, reports []TeamReport) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Now()
+	part := l.partLocked(now)
+	p := l.peers[vm]
+	fresh := p != nil && p.incarnation == incarnation && now-p.heardAt <= l.silence()
+	if !fresh {
+		p = &peer{incarnation: incarnation}
+		l.peers[vm] = p
+		l.heardAt = now - heardFor - 1
+	}
+	if l.joining {
+		l.joining, l.joinedUntil = false, now+adoptFor
+		for _, b := range *l.teams.Load() {
+			b.adopted = b.limit.Burst
+		}
+	}
+	p.heardAt = now
+	spent, teams := make(map[string]int64, len(reports)), *l.teams.Load()
+	p.demand = make(map[string]float64, len(reports))
+	for _, r := range reports {
+		spent[r.Team], p.demand[r.Team] = r.Spent, r.Demand
+		b := teams[r.Team]
+		if b == nil {
+			continue
+		}
+		b.refill(now, part)
+		if fresh {
+			b.level = min(b.level-float64(r.Spent-p.lastSpent(r)), b.limit.Burst*b.part)
+		}
+		if now <= l.joinedUntil {
+			b.adopt(r.Level)
+		}
+	}
+	p.keepSpent(spent, len(reports) == maxReportedTeams)
+}
+
+// lastSpent returns the cost that the previous report gave for a team, or its baseline if the team wasn't active then.
+func (p *peer) lastSpent(r TeamReport) int64 {
+	if last, ok := p.spent[r.Team]; ok {
+		return last
+	}
+	return r.Baseline
+}
+
+// keepSpent replaces the costs by those of the newest report. A full report may leave out active teams, whose costs are kept.
+func (p *peer) keepSpent(spent map[string]int64, full bool) {
+	if full {
+		for team, cost := range p.spent {
+			if _, ok := spent[team]; !ok {
+				spent[team] = cost
+			}
+		}
+	}
+	p.spent = spent
+}
+
+// Forget removes what a VM reported, because it is silent.
+func (l *Limiter) Forget(vm string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.peers, vm)
+	l.heardAt = l.Now() - heardFor - 1
+}
+
+// silence returns the time without a report after which a VM counts as silent.
+func (l *Limiter) silence() time.Duration {
+	return max(minSilence, silentPeriods*(basePeriod+time.Duration(max(l.knownVMs-5, 0))*periodPerVM))
+}
+
+// partLocked returns the fraction of the known VMs that this VM hears, itself included.
+func (l *Limiter) partLocked(now time.Duration) float64 {
+	if now-l.heardAt > heardFor {
+		l.heardAt, l.heardVMs = now, 1
+		for _, p := range l.peers {
+			if now-p.heardAt <= l.silence() {
+				l.heardVMs++
+			}
+		}
+		if l.heardVMs == 1 {
+			l.joining = true
+		}
+	}
+	return float64(l.heardVMs) / float64(max(l.knownVMs, l.heardVMs))
+}
+
+// peerDemandLocked returns the demand of a team at the other VMs that this VM hears.
+func (l *Limiter) peerDemandLocked(team string, now time.Duration) float64 {
+	var sum float64
+	for _, p := range l.peers {
+		if now-p.heardAt <= l.silence() {
+			sum += p.demand[team]
+		}
+	}
+	return sum
+}
