--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -68,6 +68,7 @@
 	x := &exchange{attempt: attempt, buffers: c.buffers, parts: make(chan part), closed: make(chan struct{}), lastProgress: time.Now()}
 	x.ctx, x.cancel = context.WithCancel(c.ctx)
 	c.openExchanges++
+	c.countPossibleRun()
 	go func() {
 		a, err := c.Backend.Run(x.ctx, &attempt.Endpoint, c.r, d)
 		switch {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -138,6 +138,7 @@
 	Usage      UsageMeter
 	Budget     RetryBudget
 	Quarantine *retry.Quarantine
+	Quota      QuotaLimiter
 	// Parts blocks requests with prompt parts that crash engines.
 	Parts   *retry.PartQuarantine
 	Log     zerolog.Logger
@@ -243,6 +244,7 @@
 	openExchanges int
 	standby       *exchange
 	current
+	quotaAccount
 	// nextPlan is the plan for the next attempt, whose retry is taken from the budget; nil for none.
 	nextPlan *placement.Plan
 	// freeAfter is the Retry-After time of a request that is refused because of pauses; 0 if it is not.
@@ -284,6 +286,7 @@
 	defer s.inFlight.Add(-1)
 	c := &call{Server: s, ctx: ctx, r: r, w: w, excluded: make(map[string]bool)}
 	s.awaitReady(ctx)
+	defer c.settleQuota()
 	if refusal, retryAfter := c.admit(); refusal != nil {
 		c.refuse(refusal, retryAfter)
 		return
@@ -344,6 +347,9 @@
 	if c.Quarantine.Blocked(c.fingerprint) {
 		return apierror.New(apierror.Unavailable, "don't send this request again", "the request crashed endpoints that ran it"), 0
 	}
+	if refusal, retryAfter := c.takeQuota(&team.Quota); refusal != nil {
+		return refusal, retryAfter
+	}
 	if c.hasPrompt() {
 		for _, id := range c.r.Prompt.SharedPartIDs() {
 			c.sharedParts = append(c.sharedParts, retry.NewPart(c.service, id))
--- a/internal/ingress/plain.go
+++ b/internal/ingress/plain.go
@@ -102,6 +102,7 @@
 		return other, c.recordFailure(attempt, p.err)
 	}
 	if a.NotRun {
+		c.uncountPossibleRun()
 		c.recordRefusal(attempt, a.Misdirected)
 		return other, true
 	}
@@ -156,6 +157,9 @@
 
 // recordFailure records a broken exchange with an endpoint. It returns whether the request may be retried at another endpoint.
 func (c *call) recordFailure(attempt *placement.Attempt, err error) (retryable bool) {
+	if unsent(err) {
+		c.uncountPossibleRun()
+	}
 	if c.lostContest() {
 		c.recordLostContest(attempt, !unsent(err))
 		return false
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -210,6 +210,7 @@
 		c.freeHandle(handle)
 		return false, retryable, false
 	case p.answer.NotRun:
+		c.uncountPossibleRun()
 		c.recordRefusal(plan.Decode, p.answer.Misdirected)
 		if !p.answer.Misdirected {
 			c.freeHandle(handle)
@@ -258,6 +259,9 @@
 	c.dispatches++
 	c.reachedEndpoint = true
 	handle, status, err := c.prefillUntilStall(attempt, placement.FirstTokenLimit(plan.Predicted), st)
+	if handle != nil || err != nil && !unsent(err) {
+		c.prefillMayHaveRun = true
+	}
 	switch {
 	case c.ctx.Err() != nil:
 		attempt.Done(placement.Abandoned)
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -91,6 +91,8 @@
 		links = append(links, link)
 	}
 	n.link.SetListedAddresses(links)
+	n.vmsListed.Store(true)
+	n.updateKnownVMs()
 	if *registered {
 		return nil
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,7 @@
 	"crocusglade.example/crocusglade/internal/metering"
 	"crocusglade.example/crocusglade/internal/objectstore"
 	"crocusglade.example/crocusglade/internal/placement"
+	"crocusglade.example/crocusglade/internal/quota"
 	"crocusglade.example/crocusglade/internal/retry"
 	"crocusglade.example/crocusglade/internal/telemetry"
 	"crocusglade.example/crocusglade/internal/upstream"
@@ -98,8 +99,11 @@
 	ledger        *metering.Ledger
 	server        *ingress.Server
 	retryBudget   *retry.WindowBudget
-	bounds        atomic.Pointer[ingress.Bounds]
-	activeConns   activeConns
+	quotas        *quota.Limiter
+	// vmsListed is set once the store has listed the VMs.
+	vmsListed   atomic.Bool
+	bounds      atomic.Pointer[ingress.Bounds]
+	activeConns activeConns
 	// callerListener is nil until the server for callers has started.
 	callerListener atomic.Pointer[callerListener]
 	draining       atomic.Bool
@@ -129,16 +133,17 @@
 	}
 	n.meter = metering.NewMeter(s.UsageWindow, n.medianClock.Now)
 	n.registry = &discovery.Registry{Decode: a.DecodeEndpoint, Changed: n.onEndpointsChanged, SinceStoreRecovery: n.catalogHolder.SinceStoreOutage, Log: n.log}
+	requestMetrics, err := t.NewRequestMetrics()
+	if err != nil {
+		return nil, err
+	}
+	n.quotas = newQuotaLimiter(quotaObserver{metrics: requestMetrics, log: n.log})
 	quarantine, parts := retry.NewQuarantine(quarantineDuration), retry.NewPartQuarantine(bootclock.NowAsTime)
 	n.link = vmlink.New(vmlink.Config{VM: s.VM, Incarnation: n.incarnation, Domain: s.FailureDomain, CallerAddress: s.CallerListenAddress,
 		LinkAddress: n.linkAddress(s.IP), Catalog: n.catalogHolder, Fleet: n.fleet, Meter: n.meter, Ledger: n.ledger, Quarantine: quarantine, Parts: parts,
-		MedianClock: n.medianClock, FetchCatalog: n.fetchCatalog, Log: n.log})
+		MedianClock: n.medianClock, Quota: n.quotas, FetchCatalog: n.fetchCatalog, Log: n.log})
 	n.retryBudget = retry.NewWindowBudget(s.RetryRatio*retryBudgetFraction, s.RetrySlack*retryBudgetFraction, s.RetryWindow)
 	n.bounds.Store(&ingress.Bounds{RevokeBound: s.RevokeBound, ApplyBound: s.ApplyBound})
-	requestMetrics, err := t.NewRequestMetrics()
-	if err != nil {
-		return nil, err
-	}
 	if err := t.ObserveExchange(n.link.OmittedReads, n.incompleteWindows.Load); err != nil {
 		return nil, err
 	}
@@ -149,7 +154,7 @@
 		n.log.Warn().Str("service", part.Service).Str("part", part.ID).Bool("blocked", blocked).Int("crashes", crashes).Msg("prompt part that crashes engines")
 	})
 	n.server = ingress.New(ingress.Config{Catalog: n.catalogHolder, Fleet: n.fleet, Backend: a.Backend, Usage: n.meter,
-		Budget: n.retryBudget, Quarantine: quarantine, Parts: parts, Log: n.log, Observe: requestMetrics, OnMisdirected: n.link.AnnounceUnavailableEndpoint,
+		Budget: n.retryBudget, Quarantine: quarantine, Quota: n.quotas, Parts: parts, Log: n.log, Observe: requestMetrics, OnMisdirected: n.link.AnnounceUnavailableEndpoint,
 		MaxBufferedBytes: bufferLimit(s.MemoryMB),
 		Ready:            func() bool { return n.catalogHolder.Current() != nil && n.registry.HasSynced() },
 		Bounds:           func() ingress.Bounds { return *n.bounds.Load() }, TimeToStop: n.timeToStop})
@@ -267,6 +272,7 @@
 		return
 	}
 	n.fleet.SetServices(c.Services)
+	n.quotas.SetLimits(quotaLimits(n.catalogHolder.Current()))
 	n.log.Info().Uint64("version", c.Version).Uint64("revision", c.Revision).Int("routes", len(c.Routes)).
 		Int("keys", len(c.TeamsByKey)).Str("source", source).Msg("configuration in force")
 }
@@ -289,6 +295,7 @@
 		case <-ticker.C:
 			n.Upstream.Prune()
 			n.retryBudget.SetVMs(n.link.Size())
+			n.updateKnownVMs()
 		}
 	}
 }
--- a/internal/telemetry/requests.go
+++ b/internal/telemetry/requests.go
@@ -15,6 +15,7 @@
 	partBlocked metric.Int64Counter
 	notices     metric.Int64Counter
 	waited      metric.Int64Counter
+	quotaCost   metric.Int64Counter
 	duration    metric.Float64Histogram
 	firstAnswer metric.Float64Histogram
 }
@@ -52,6 +53,7 @@
 		partBlocked: b.counter("prompt_part_changes", "Prompt parts that were blocked or released, by change."),
 		notices:     b.counter("endpoint_notices", "What endpoints said about themselves in responses, by kind: leaving, pause, invalid_pause."),
 		waited:      b.counter("endpoint_pause_waits", "Requests that no endpoint could take because of pauses, by service and by what became of them: waited or refused."),
+		quotaCost:   b.counter("quota_cost", "Cost of requests of teams with a quota, by outcome: granted, refused, given_back."),
 		duration:    b.secondsHistogram("request_duration", "Time from the arrival of a request to its end."),
 		firstAnswer: b.secondsHistogram("request_first_answer", "Time from the arrival of a request to the first part of its response."),
 	}
@@ -69,6 +71,11 @@
 	}
 }
 
+// QuotaCost counts the cost of a request of a team with a quota.
+func (m *RequestMetrics) QuotaCost(outcome string, cost int64) {
+	m.quotaCost.Add(context.Background(), cost, labels("outcome", outcome))
+}
+
 // Retried counts a retry. The reason is not used as a label.
 func (m *RequestMetrics) Retried(service, _ string) {
 	m.retried.Add(context.Background(), 1, labels("service", service))
--- a/internal/vmlink/link.go
+++ b/internal/vmlink/link.go
@@ -53,6 +53,7 @@
 	Quarantine                 *retry.Quarantine
 	Parts                      *retry.PartQuarantine
 	MedianClock                *MedianClock
+	Quota                      QuotaExchange
 	// FetchCatalog fetches and applies the configuration of the VM at a link address. It is called when that VM has a newer one.
 	FetchCatalog func(ctx context.Context, link string) error
 	Log          zerolog.Logger
@@ -253,6 +254,7 @@
 func (l *Link) buildMessage() (*StatusMessage, []net.Addr, net.PacketConn) {
 	work, reads := l.Fleet.CollectWork()
 	parts := l.Parts.Report()
+	quotas := l.Quota.Report()
 	if len(reads) > maxMessageReads {
 		reads = reads[len(reads)-maxMessageReads:]
 	}
@@ -262,6 +264,7 @@
 		Draining: l.draining, DutyToken: l.dutyToken, Work: encodeWork(work), Reads: EncodeReads(reads), Demand: l.Fleet.MeasureDemand(),
 		Unreachable: encodeUnreachable(l.Fleet.UnreachableEndpoints()), ConfirmedMS: -1}
 	msg.encodeParts(parts)
+	msg.Quotas = encodeQuotas(quotas)
 	for _, e := range l.Fleet.LeavingEndpoints() {
 		msg.Leaving = append(msg.Leaving, LeavingEndpoint(e))
 	}
@@ -347,6 +350,7 @@
 		l.Fleet.RecordPeerLeaving(e.ID, e.StartedAtMS)
 	}
 	l.Parts.MergeReport(msg.decodeParts())
+	l.Quota.MergeReport(msg.VM, msg.Incarnation, decodeQuotas(msg.Quotas))
 	l.handleConfirmation(ctx, &msg)
 }
 
@@ -401,6 +405,7 @@
 		l.Fleet.SetPeerWork(p.status.Name, nil, nil)
 		l.Fleet.SetPeerDemand(p.status.Name, nil)
 		l.MedianClock.Forget(p.status.Name)
+		l.Quota.Forget(p.status.Name)
 		l.Log.Warn().Str("dependency", "vm").Str("peer", p.status.Name).Int64("silent_ms", timeout.Milliseconds()).Msg("dependency lost")
 	}
 }
@@ -427,6 +432,20 @@
 // Size returns the number of live VMs, this one included.
 func (l *Link) Size() int { return len(l.LivePeers()) + 1 }
 
+// KnownVMs returns the number of VMs of the deployment, this one included: those that the store lists and those that were heard within
+// peerExpiry.
+func (l *Link) KnownVMs() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := 1
+	for _, p := range l.peers {
+		if p.listed || p.receivedAt != 0 {
+			known++
+		}
+	}
+	return known
+}
+
 // OwnsProbe reports whether this VM is the one of the live VMs that probes a blocked prompt part, by rendezvous hashing of the names.
 func (l *Link) OwnsProbe(part retry.Part) bool {
 	own := probeRank(l.VM, part)
--- a/internal/vmlink/message.go
+++ b/internal/vmlink/message.go
@@ -53,6 +53,8 @@
 	Leaving []LeavingEndpoint `cbor:"24,keyasint,omitempty"`
 	// Demand is the sender's demand for prompt processing by service, in tokens per second.
 	Demand map[string]float64 `cbor:"17,keyasint,omitempty"`
+	// Quotas reports the cost that the sender granted to teams with a quota; see quota.TeamReport.
+	Quotas []TeamQuota `cbor:"25,keyasint,omitempty"`
 }
 
 // LeavingEndpoint names one start of an endpoint that leaves.
