--- a/internal/quota/exchange.go
+++ b/internal/quota/exchange.go
@@ -18,6 +18,9 @@
 	silentPeriods = 4
 	basePeriod    = 60 * time.Millisecond
 	periodPerVM   = 2 * time.Millisecond
+	// baselineSilences is the number of silences after which a report only sets the baseline. A shorter gap comes from lost datagrams, or from
+	// a partition in whose first silence both sides used the whole bucket.
+	baselineSilences = 2
 	// adoptFor is how long a VM that hears others again adopts their levels: one report of each arrives in this time.
 	adoptFor = 500 * time.Millisecond
 	// heardFor is how long the count of VMs heard is kept.
@@ -66,19 +69,21 @@
 	return reports[:min(len(reports), maxReportedTeams)]
 }
 
-// MergeReport applies the report of another VM. The first report of an incarnation and the first after a silence only set the baseline of
-// later ones, because this VM can't tell which of the cost was granted from its part of the bucket.
+// MergeReport applies the report of another VM. The first report of an incarnation and the first after baselineSilences only set the baseline
+// of later ones, because this VM can't tell which of the cost was granted from its part of the bucket.
 func (l *Limiter) MergeReport(vm, incarnation string, reports []TeamReport) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Now()
 	part := l.partLocked(now)
 	p := l.peers[vm]
-	fresh := p != nil && p.incarnation == incarnation && now-p.heardAt <= l.silence()
+	fresh := p != nil && p.incarnation == incarnation && now-p.heardAt <= baselineSilences*l.silence()
 	if !fresh {
 		p = &peer{incarnation: incarnation}
 		l.peers[vm] = p
-		l.heardAt = now - heardFor - 1
+	}
+	if now-p.heardAt > l.silence() || !fresh {
+		l.heardAt = now - heardFor - 1 // count the VMs anew
 	}
 	if l.joining {
 		l.joining, l.joinedUntil = false, now+adoptFor
--- a/internal/quota/limiter_test.go
+++ b/internal/quota/limiter_test.go
@@ -224,6 +224,43 @@
 	}
 }
 
+// noticeRecorder records the notices about teams and the costs.
+type noticeRecorder struct {
+	notices []bool
+	costs   map[Outcome]int64
+}
+
+func (r *noticeRecorder) Counted(outcome Outcome, cost int64) { r.costs[outcome] += cost }
+func (r *noticeRecorder) Limited(_ string, limited bool)      { r.notices = append(r.notices, limited) }
+
+// Guards against a notice for each refusal, against a notice of the end that is missing when the team sends nothing more, and against costs
+// that are counted under a wrong outcome.
+func TestNotices(t *testing.T) {
+	var now time.Duration
+	r := &noticeRecorder{costs: make(map[Outcome]int64)}
+	l := New(Config{Now: func() time.Duration { return now }, Random: func() float64 { return 0 }, Observe: r})
+	l.SetKnownVMs(1)
+	l.SetLimits(map[string]Limit{"team": {RatePerSecond: 1, Burst: 10}})
+	for range 300 { // 3 s of overload
+		now += tick
+		l.Take("team", 1)
+	}
+	l.GiveBack("team", 1)
+	if len(r.notices) != 1 || !r.notices[0] {
+		t.Errorf("notices under overload: %v", r.notices)
+	}
+	for range 300 {
+		now += tick
+		l.Report()
+	}
+	if len(r.notices) != 2 || r.notices[1] {
+		t.Errorf("notices after overload: %v", r.notices)
+	}
+	if r.costs[Granted]+r.costs[Refused] != 300 || r.costs[GivenBack] != 1 {
+		t.Errorf("costs %v", r.costs)
+	}
+}
+
 // Guards against schedules of load and failures in which some window exceeds the bound.
 func TestBoundHolds(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
