--- a/internal/quota/exchange.go
+++ b/internal/quota/exchange.go
@@ -11,6 +11,10 @@
 	reportedFor = 10 * time.Second
 	// maxReportedTeams bounds the teams in one report and so the size of a datagram.
 	maxReportedTeams = 64
+	// alternatingTeams is the number of places in a full report that the teams with less demand take in turn.
+	alternatingTeams = 16
+	// maxOmittedReports is the number of full reports without a team after which what the VM reported about it is dropped.
+	maxOmittedReports = 100
 	// minSilence and silentPeriods bound the time without a report after which a VM counts as silent. basePeriod and periodPerVM are the
 	// period of reports, see package vmlink. The time is shorter than that of vmlink, because both sides of a partition grant the whole
 	// bucket until it has passed.
@@ -36,15 +40,24 @@
 	Demand, Level float64
 }
 
-// peer is what another VM reported. spent and demand are by team.
+// peer is what another VM reported.
 type peer struct {
 	incarnation string
 	heardAt     time.Duration
-	spent       map[string]int64
-	demand      map[string]float64
+	// reportCount is the number of reports received.
+	reportCount int
+	teams       map[string]peerTeam
 }
 
-// Report returns the report for the other VMs. If more teams are active than a report may hold, it names those with the most demand.
+// peerTeam is what a VM reported about a team, in its report with the given number.
+type peerTeam struct {
+	spent  int64
+	demand float64
+	report int
+}
+
+// Report returns the report for the other VMs. If more teams are active than a report may hold, it names those with the most demand, and
+// the others in turn.
 func (l *Limiter) Report() []TeamReport {
 	teams := *l.teams.Load()
 	if len(teams) == 0 {
@@ -66,7 +79,22 @@
 	slices.SortFunc(reports, func(a, b TeamReport) int {
 		return cmp.Or(cmp.Compare(b.Demand, a.Demand), cmp.Compare(a.Team, b.Team))
 	})
-	return reports[:min(len(reports), maxReportedTeams)]
+	if len(reports) <= maxReportedTeams {
+		return reports
+	}
+	first := maxReportedTeams - alternatingTeams
+	return append(reports[:first:first], l.nextInTurnLocked(reports[first:])...)
+}
+
+// nextInTurnLocked returns the alternatingTeams reports whose turn it is.
+func (l *Limiter) nextInTurnLocked(reports []TeamReport) []TeamReport {
+	slices.SortFunc(reports, func(a, b TeamReport) int { return cmp.Compare(a.Team, b.Team) })
+	out := make([]TeamReport, 0, alternatingTeams)
+	for range min(alternatingTeams, len(reports)) {
+		l.turn++
+		out = append(out, reports[l.turn%len(reports)])
+	}
+	return out
 }
 
 // MergeReport applies the report of another VM. The first report of an incarnation and the first after baselineSilences only set the baseline
@@ -79,7 +107,7 @@
 	p := l.peers[vm]
 	fresh := p != nil && p.incarnation == incarnation && now-p.heardAt <= baselineSilences*l.silence()
 	if !fresh {
-		p = &peer{incarnation: incarnation}
+		p = &peer{incarnation: incarnation, teams: make(map[string]peerTeam)}
 		l.peers[vm] = p
 	}
 	if now-p.heardAt > l.silence() || !fresh {
@@ -92,43 +120,46 @@
 		}
 	}
 	p.heardAt = now
-	spent, teams := make(map[string]int64, len(reports)), *l.teams.Load()
-	p.demand = make(map[string]float64, len(reports))
+	p.reportCount++
+	teams := *l.teams.Load()
 	for _, r := range reports {
-		spent[r.Team], p.demand[r.Team] = r.Spent, r.Demand
+		increase := p.increase(r)
+		p.teams[r.Team] = peerTeam{spent: r.Spent, demand: r.Demand, report: p.reportCount}
 		b := teams[r.Team]
 		if b == nil {
 			continue
 		}
 		b.refill(now, part)
 		if fresh {
-			b.level = min(b.level-float64(r.Spent-p.lastSpent(r)), b.limit.Burst*b.part)
+			b.level = min(b.level-increase, b.limit.Burst*b.part)
 		}
 		if now <= l.joinedUntil {
 			b.adopt(r.Level)
 		}
 	}
-	p.keepSpent(spent, len(reports) == maxReportedTeams)
+	p.dropOmitted(len(reports) >= maxReportedTeams)
 }
 
-// lastSpent returns the cost that the previous report gave for a team, or its baseline if the team wasn't active then.
-func (p *peer) lastSpent(r TeamReport) int64 {
-	if last, ok := p.spent[r.Team]; ok {
-		return last
+// increase returns the cost that the VM granted to a team since its previous report. If that left the team out, the increase is at most the
+// demand of the last second, because this VM's bucket has long been full again after what was granted before.
+func (p *peer) increase(r TeamReport) float64 {
+	last, ok := p.teams[r.Team]
+	switch {
+	case !ok:
+		return min(float64(r.Spent-r.Baseline), r.Demand)
+	case last.report < p.reportCount-1:
+		return min(float64(r.Spent-last.spent), r.Demand)
 	}
-	return r.Baseline
+	return float64(r.Spent - last.spent)
 }
 
-// keepSpent replaces the costs by those of the newest report. A full report may leave out active teams, whose costs are kept.
-func (p *peer) keepSpent(spent map[string]int64, full bool) {
-	if full {
-		for team, cost := range p.spent {
-			if _, ok := spent[team]; !ok {
-				spent[team] = cost
-			}
+// dropOmitted drops the teams that the newest report leaves out. A full report may leave out active teams for a while.
+func (p *peer) dropOmitted(full bool) {
+	for team, t := range p.teams {
+		if omitted := p.reportCount - t.report; omitted > maxOmittedReports || omitted > 0 && !full {
+			delete(p.teams, team)
 		}
 	}
-	p.spent = spent
 }
 
 // Forget removes what a VM reported, because it is silent.
@@ -165,7 +196,7 @@
 	var sum float64
 	for _, p := range l.peers {
 		if now-p.heardAt <= l.silence() {
-			sum += p.demand[team]
+			sum += p.teams[team].demand
 		}
 	}
 	return sum
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -62,8 +62,10 @@
 	// teams holds the buckets of the limited teams. The map is replaced as a whole; mu protects the buckets.
 	teams atomic.Pointer[map[string]*bucket]
 
-	mu       sync.Mutex
-	peers    map[string]*peer
+	mu    sync.Mutex
+	peers map[string]*peer
+	// turn counts the places of reports that teams have taken in turn.
+	turn     int
 	knownVMs int
 	knowsVMs bool
 	// joining is set while this VM hears no other one, and joinedUntil bounds the time afterwards in which it adopts the levels of others.
--- a/internal/quota/limiter_test.go
+++ b/internal/quota/limiter_test.go
@@ -201,6 +201,42 @@
 	}
 }
 
+// Guards against reports that leave out the same teams for ever, and against VMs that join and take for new what was granted long before.
+func TestMoreTeamsThanReportsHold(t *testing.T) {
+	limit, small := Limit{RatePerSecond: 100_000, Burst: 200_000}, Limit{RatePerSecond: 2_000, Burst: 4_000}
+	limits := make(map[string]Limit)
+	for i := range 140 {
+		limits[fmt.Sprint("team", i)] = limit
+	}
+	limits["team7"] = small
+	s := newSimulation(t, 7, 6, limits)
+	var loads []func()
+	for i := range 140 {
+		if i == 7 {
+			loads = append(loads, s.flood("team7", small, 4, 6)) // less demand than the others
+			continue
+		}
+		loads = append(loads, s.flood(fmt.Sprint("team", i), limit, 0.6, 6))
+	}
+	s.run(4*time.Second, func() {})
+	all := func() {
+		for _, load := range loads {
+			load()
+		}
+	}
+	s.run(12*time.Second, all)
+	s.restart(2)
+	s.run(5*time.Second, all)
+	for name := range limits {
+		if name != "team7" && float64(s.grantedCost(name, 0)) < 0.95*float64(s.asked[name]) {
+			t.Errorf("%s at 60%% of its limit: served %d of %d", name, s.grantedCost(name, 0), s.asked[name])
+		}
+	}
+	if worst, most := float64(s.worst("team7", 0)), 1.5*(small.RatePerSecond*8+small.Burst); worst > most {
+		t.Errorf("team7: %.0f granted in a window, want at most %.0f", worst, most)
+	}
+}
+
 // Guards against costs that are lost or counted twice: refunds free room, charges may make a debt.
 func TestChargeAndGiveBack(t *testing.T) {
 	var now time.Duration
