--- a/internal/vmlink/link.go
+++ b/internal/vmlink/link.go
@@ -35,6 +35,9 @@
 	minSilentTime = 700 * time.Millisecond
 	// peerExpiry is the time without a datagram after which a VM is removed from the peers, unless the store lists it.
 	peerExpiry = 20 * time.Second
+	// listedExpiry is the time without a datagram after which a VM that the store lists no longer counts as one of the deployment. The store
+	// keeps the entries of VMs that were replaced.
+	listedExpiry = 10 * time.Minute
 	// maxDatagramBytes bounds the payload of a UDP datagram.
 	maxDatagramBytes = 65000
 	// maxMessageReads bounds the prompt reads in one datagram.
@@ -66,8 +69,9 @@
 	addr   *net.UDPAddr
 	// receivedAt is when the last datagram arrived; zero if none did.
 	receivedAt bootclock.Instant
-	// listed is true while the store lists the VM.
-	listed bool
+	// listed is true while the store lists the VM. addedAt is when the address became known.
+	listed  bool
+	addedAt bootclock.Instant
 	// lastSentAt is the SentAt of its newest datagram.
 	lastSentAt int64
 	// live is true while datagrams arrive.
@@ -135,7 +139,7 @@
 	if p := l.peers[address]; p != nil {
 		return p
 	}
-	p := &peer{link: address}
+	p := &peer{link: address, addedAt: bootclock.Now()}
 	addr, err := net.ResolveUDPAddr("udp4", address)
 	if err != nil {
 		l.Log.Error().Str("address", address).Err(err).Msg("link address of a VM is invalid")
@@ -432,14 +436,14 @@
 // Size returns the number of live VMs, this one included.
 func (l *Link) Size() int { return len(l.LivePeers()) + 1 }
 
-// KnownVMs returns the number of VMs of the deployment, this one included: those that the store lists and those that were heard within
-// peerExpiry.
+// KnownVMs returns the number of VMs of the deployment, this one included: those that were heard within peerExpiry, and those that the store
+// lists and that were heard, or listed first, within listedExpiry.
 func (l *Link) KnownVMs() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known := 1
+	known, now := 1, bootclock.Now()
 	for _, p := range l.peers {
-		if p.listed || p.receivedAt != 0 {
+		if p.receivedAt != 0 && now.Sub(p.receivedAt) < peerExpiry || p.listed && now.Sub(max(p.receivedAt, p.addedAt)) < listedExpiry {
 			known++
 		}
 	}
