--- a/internal/fault/process.go
+++ b/internal/fault/process.go
@@ -1,9 +1,11 @@
 package fault
 
 import (
+	"fmt"
 	"io"
 	"os"
 	"os/exec"
+	"strings"
 	"syscall"
 
 	"github.com/go-faster/errors"
@@ -76,3 +78,23 @@
 	}
 	return p.cmd.Process.Signal(s)
 }
+
+// PeakMemory returns the largest resident memory that the process has used, in MiB.
+func (p *Process) PeakMemory() (float64, error) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.Pid()))
+	if err != nil {
+		return 0, errors.Wrap(err, "read memory of a process, which may have ended")
+	}
+	_, value, _ := strings.Cut(string(status), "VmHWM:")
+	var kib float64
+	if _, err := fmt.Sscan(value, &kib); err != nil {
+		return 0, errors.Wrap(err, "decode peak memory")
+	}
+	return kib / 1024, nil
+}
+
+// Descriptors returns the number of open file descriptors of the process.
+func (p *Process) Descriptors() (int, error) {
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.Pid()))
+	return len(entries), errors.Wrap(err, "read descriptors of a process, which may have ended")
+}
