--- a/internal/e2e/client_limits_test.go
+++ b/internal/e2e/client_limits_test.go
@@ -32,7 +32,9 @@
 	c := newCluster(t, options{})
 	v := c.vms[0]
 	process, address, head := v.gateway, v.GatewayAddr, "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer "+c.keys["skippers"]+"\r\n"
-	ordinary := func() bool { return c.call(0, "clerks", http.MethodGet, "/svc/lines/ready", "", nil).status == http.StatusOK }
+	ordinary := func() bool {
+		return c.call(0, "clerks", http.MethodGet, "/svc/lines/ready", "", nil).status == http.StatusOK
+	}
 	get := func(address, path string) func() bool {
 		return func() bool {
 			r, err := c.client.Get(c.url(address) + path)
