daemon, gateway: bound connections, headers and request bodies of the ports

The gateway accounts for request bodies; a body that finds no memory gets 503 with Retry-After before it runs.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		return settings.ReportLoadError(os.Stderr, err)
 	}
-	component := daemon.HTTPServerComponent(name, address, nil, handler)
+	component := daemon.HTTPServerComponent(name, address, nil, handler, t)
 	component.Drain = nil // a drain would not end: the watches and streams of a stand-in stay open
 	return daemon.Run(context.Background(), t, 0, []daemon.Component{component})
 }
--- a/internal/daemon/admin_server.go
+++ b/internal/daemon/admin_server.go
@@ -11,5 +11,5 @@
 	server := &admin.Server{Store: c.platform, Config: c.configStore, Freshness: c.freshness, Members: c.members, Keyring: c.keyring,
 		Admins: auth.NewAdminAuthenticator(c.keyring, s.BootstrapCredential), DialGateway: c.clients.GatewayClient, Endpoints: c.directory,
 		DialController: c.clients.DialController}
-	return HTTPServerComponent("administration", s.AdminListen, serverTLS(t, s.AdminTLS), server.Handler())
+	return HTTPServerComponent("administration", s.AdminListen, serverTLS(t, s.AdminTLS), server.Handler(), c.telemetry)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,9 +5,6 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"net"
-	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -28,9 +25,6 @@
 	ExitForced = 3
 )
 
-// headerTimeout limits the time in which a client must send the header of a request, so that idle connections don't accumulate.
-const headerTimeout = 10 * time.Second
-
 // Component is a part of a process that runs in its own goroutine.
 type Component struct {
 	Name string
@@ -148,28 +142,3 @@
 	}
 	p.telemetry.Metrics.Drain.Ended(ctx, "process", time.Since(started).Seconds(), int64(interrupted))
 }
-
-// HTTPServerComponent returns a component that serves HTTP on an address, over TLS unless config is nil. Its drain closes the listener and
-// waits for the requests in progress.
-func HTTPServerComponent(name, address string, config *tls.Config, handler http.Handler) Component {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-	return Component{Name: name,
-		Run: func(ctx context.Context) error {
-			listener, err := net.Listen("tcp", address)
-			if err != nil {
-				return errors.Wrap(err, "listen (check the address and that no other process uses it)")
-			}
-			defer context.AfterFunc(ctx, func() { _ = server.Close() })()
-			if config != nil {
-				listener = tls.NewListener(listener, config)
-			}
-			err = server.Serve(listener)
-			if errors.Is(err, http.ErrServerClosed) {
-				<-ctx.Done() // a drain has closed the listener; the component ends with its context
-				return nil
-			}
-			return err
-		},
-		Drain: server.Shutdown,
-	}
-}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -15,6 +15,7 @@
 	"crocusglade.example/crocusglade/internal/auth"
 	"crocusglade.example/crocusglade/internal/balancer"
 	"crocusglade.example/crocusglade/internal/bootclock"
+	"crocusglade.example/crocusglade/internal/buffer"
 	"crocusglade.example/crocusglade/internal/burn"
 	"crocusglade.example/crocusglade/internal/claim"
 	"crocusglade.example/crocusglade/internal/config"
@@ -130,6 +131,7 @@
 		Peers: copier.peers, Copier: copier, ReadSealedWindow: usage.NewSealedWindowReader(g.platform),
 		OnCopy: func(accepted bool) { g.telemetry.Metrics.Usage.Copied(context.Background(), accepted) }})
 	claims := claim.NewStore(claim.Options{Platform: g.platform, Log: g.telemetry.Log, OnShardWrite: g.recordClaimGroup})
+	bodyRefusals := &refusals{name: "callers", telemetry: g.telemetry}
 	g.gateway = gateway.New(gateway.Options{
 		VM: s.VMName, Incarnation: g.incarnation, Config: g.configStore, Keyring: g.keyring, Admission: g.admission, Balancer: g.balancer,
 		Budget: retry.NewBudget(retryBudgetRatio), Quarantine: g.quarantine, Parts: g.newPartQuarantine(), Claims: claims, Usage: g.ledger, Discovery: g.directory,
@@ -142,7 +144,8 @@
 		OnRepeatedKey: func(answer gateway.RepeatedKeyAnswer) {
 			g.telemetry.Metrics.Claim.Repeated(context.Background(), string(answer))
 		},
-		OnDrained: claims.Flush, Log: g.telemetry.Log, EntryLifetime: s.EntryLifetime,
+		OnDrained: claims.Flush, Log: g.telemetry.Log, EntryLifetime: s.EntryLifetime, Bodies: buffer.NewMemory(int64(s.BodyMemoryMB) << 20),
+		OnBodyRefused: func() { bodyRefusals.add("memory") },
 	})
 	g.neighbours.draining = g.gateway.Draining
 	g.neighbours.sendDeath = g.mesh.ReportEndpointDeath
@@ -184,7 +187,8 @@
 // callerServer returns the component that serves callers. It drains the gateway before it closes the listener, so that no request is
 // interrupted.
 func (g *gatewayNode) callerServer(s *settings.Gateway, t *auth.TLS) Component {
-	component := HTTPServerComponent("callers", s.Listen, serverTLS(t, s.CallerTLS), g.gateway)
+	component := newHTTPServerComponent("callers", s.Listen, serverTLS(t, s.CallerTLS), g.gateway, g.telemetry,
+		connectionLimit(s.CallerConnections, callerDescriptorShare))
 	component.InFlight = g.gateway.InFlight
 	shutdown := component.Drain
 	component.Drain = func(ctx context.Context) error {
--- a/internal/daemon/roles.go
+++ b/internal/daemon/roles.go
@@ -12,7 +12,7 @@
 // healthServer returns the component that serves /metrics, /livez and /readyz. It is not drained, so that operators can watch the drain
 // of the process through it.
 func (n *node) healthServer() Component {
-	component := HTTPServerComponent("health", n.settings.MetricsListen, serverTLS(n.metricsTLS, n.settings.MetricsTLS), n.telemetry.Handler())
+	component := HTTPServerComponent("health", n.settings.MetricsListen, serverTLS(n.metricsTLS, n.settings.MetricsTLS), n.telemetry.Handler(), n.telemetry)
 	component.Drain = nil
 	return component
 }
--- a/internal/fault/process.go
+++ b/internal/fault/process.go
@@ -96,5 +96,8 @@
 // Descriptors returns the number of open file descriptors of the process.
 func (p *Process) Descriptors() (int, error) {
 	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.Pid()))
-	return len(entries), errors.Wrap(err, "read descriptors of a process, which may have ended")
+	if err != nil {
+		return 0, errors.Wrap(err, "read descriptors of a process, which may have ended")
+	}
+	return len(entries), nil
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"slices"
 	"strconv"
@@ -15,6 +16,7 @@
 
 	"crocusglade.example/crocusglade/internal/apierror"
 	"crocusglade.example/crocusglade/internal/apitypes"
+	"crocusglade.example/crocusglade/internal/buffer"
 	"crocusglade.example/crocusglade/internal/config"
 	"crocusglade.example/crocusglade/internal/retry"
 )
@@ -44,6 +46,7 @@
 	priority    apitypes.Priority
 	deadline    time.Time
 	body        []byte
+	bodyMemory  *buffer.Reservation // nil for calls without a body
 	fingerprint uint64
 	// sharedParts are the messages of a chat that other requests may share: all but the last.
 	sharedParts []retry.Part
@@ -138,9 +141,21 @@
 	}
 	// Writers without read deadlines occur only in tests without a network, which have no slow senders.
 	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	memory := g.opts.Bodies.Reserve(c.team)
+	body, err := memory.ReadAll(&bodyReader{body: io.LimitReader(r.Body, limit+1), controller: controller, deadline: time.Now().Add(bodyTimeout)}, math.MaxInt)
 	_ = controller.SetReadDeadline(time.Time{})
+	defer func() {
+		if c.body == nil {
+			memory.Release()
+		}
+	}()
+	if errors.Is(err, buffer.ErrTooLarge) {
+		g.opts.OnBodyRefused()
+		w.Header().Set("Connection", "close") // the rest of the body is not worth reading
+		e := apierror.New(apierror.Overloaded, "wait and retry", "this gateway has no memory for the body now")
+		e.RetryAfterSeconds = 1
+		return e
+	}
 	if err != nil {
 		return apierror.New(apierror.InvalidRequest, "send the complete body", "the body is incomplete")
 	}
@@ -151,10 +166,35 @@
 	if len(r.Trailer) > 0 {
 		return apierror.New(apierror.InvalidRequest, "send the request without a trailer", "a trailer is not accepted")
 	}
-	c.body = body
+	c.body, c.bodyMemory = body, memory
 	return nil
 }
 
+// releaseBody releases the memory of the body, which must not be used afterwards.
+func (c *call) releaseBody() {
+	if c.bodyMemory != nil {
+		c.bodyMemory.Release()
+	}
+}
+
+// bodyReader reads a body with a deadline for each read, which is never after the deadline of the whole body.
+type bodyReader struct {
+	body       io.Reader
+	controller *http.ResponseController
+	deadline   time.Time
+}
+
+// Read implements io.Reader.
+func (b *bodyReader) Read(p []byte) (int, error) {
+	next := time.Now().Add(bodyIdleTimeout)
+	if next.After(b.deadline) {
+		next = b.deadline
+	}
+	// Writers without read deadlines occur only in tests without a network, which have no slow senders.
+	_ = b.controller.SetReadDeadline(next)
+	return b.body.Read(p)
+}
+
 // newID returns a request id: "<VM>.<incarnation>.<random>.<signature>". The signature lets any gateway verify the team, the path
 // and the pool of the request without other state.
 func (g *Gateway) newID(team, path, pool string) string {
@@ -208,6 +248,7 @@
 		defer g.endPendingWork()
 		defer g.addActiveRequests(-1)
 		defer cancel(nil)
+		defer c.releaseBody()
 		run(ctx, a)
 		g.answers.finish(a)
 		g.reportFinished(c, a)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"crocusglade.example/crocusglade/internal/apitypes"
 	"crocusglade.example/crocusglade/internal/auth"
 	"crocusglade.example/crocusglade/internal/balancer"
+	"crocusglade.example/crocusglade/internal/buffer"
 	"crocusglade.example/crocusglade/internal/claim"
 	"crocusglade.example/crocusglade/internal/config"
 	"crocusglade.example/crocusglade/internal/endpoint"
@@ -52,6 +53,8 @@
 	maxHeaderBytes = 64 << 10
 	// bodyTimeout limits the time to receive a request body. It allows for callers at sea, whose links are slow.
 	bodyTimeout = time.Minute
+	// bodyIdleTimeout limits the time without a byte of a body.
+	bodyIdleTimeout = 15 * time.Second
 )
 
 // openTeam is the reserved team name of requests without a key on open routes.
@@ -142,6 +145,9 @@
 	AnswerTTL           time.Duration
 	AbandonAfter        time.Duration
 	MaxBodyBytes        int64
+	// Bodies accounts for the memory of request bodies. OnBodyRefused is called when it has no room for a body.
+	Bodies        *buffer.Memory
+	OnBodyRefused func()
 	// MaxAnswerBytes limits the memory of finished answers that are retained for fetching.
 	MaxAnswerBytes int64
 	// MaxAttempts limits the number of endpoints that one request is tried on.
@@ -200,6 +206,12 @@
 	if o.OnRepeatedKey == nil {
 		o.OnRepeatedKey = func(RepeatedKeyAnswer) {}
 	}
+	if o.Bodies == nil {
+		o.Bodies = buffer.NewMemory(buffer.DefaultMax)
+	}
+	if o.OnBodyRefused == nil {
+		o.OnBodyRefused = func() {}
+	}
 	if o.OnDrained == nil {
 		o.OnDrained = func(context.Context) error { return nil }
 	}
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -69,6 +69,12 @@
 	if err := g.readBody(c, w, r); err != nil {
 		return nil, err
 	}
+	started := false
+	defer func() {
+		if !started {
+			c.releaseBody()
+		}
+	}()
 	m := &modelCall{call: c, path: path}
 	if err := m.parseBody(g.opts.Keyring.CacheSalt(c.team)); err != nil {
 		return nil, err
@@ -80,6 +86,7 @@
 	if retryAfter, ok := g.opts.Parts.Admit(c.sharedParts); !ok {
 		return nil, quarantinedPartError(retryAfter)
 	}
+	started = true
 	return m, nil
 }
 
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -100,6 +100,7 @@
 	s.setTarget(r, rest)
 	c.fingerprint = retry.Fingerprint(c.team, r.Method+" "+name+s.uri, c.body)
 	if g.opts.Quarantine.Blocked(c.fingerprint) {
+		c.releaseBody()
 		return nil, quarantinedError()
 	}
 	return s, nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -199,9 +199,9 @@
 		{Name: "endpoints", Run: n.newWatcher(n.Kinds.Endpoints, n.registry.ReplaceEntries, n.registry.ApplyEvents).Run},
 		{Name: "vms", Run: n.maintainRegistration},
 		{Name: "link", Run: n.link.Run},
-		withoutDrain(daemon.HTTPServerComponent("link catalog", n.linkAddress(n.IP), nil, n.linkHandler())),
-		withoutDrain(daemon.HTTPServerComponent("ready", n.Settings.ReadinessListenAddress, nil, n.Adapter.NewReadinessHandler(n.ready))),
-		withoutDrain(daemon.HTTPServerComponent("directory", n.Settings.DirectoryListenAddress, nil, n.Adapter.NewDirectoryHandler(n.addresses))),
+		withoutDrain(daemon.HTTPServerComponent("link catalog", n.linkAddress(n.IP), nil, n.linkHandler(), n.telemetry)),
+		withoutDrain(daemon.HTTPServerComponent("ready", n.Settings.ReadinessListenAddress, nil, n.Adapter.NewReadinessHandler(n.ready), n.telemetry)),
+		withoutDrain(daemon.HTTPServerComponent("directory", n.Settings.DirectoryListenAddress, nil, n.Adapter.NewDirectoryHandler(n.addresses), n.telemetry)),
 		{Name: "connections", Run: n.pruneConnections},
 		{Name: "duties", Run: n.runDuties},
 		{Name: "kept parts", Run: n.warmUpCachedParts},
@@ -209,7 +209,7 @@
 	}
 	if n.MetricsPort > 0 {
 		address := net.JoinHostPort(n.IP, strconv.Itoa(n.MetricsPort))
-		components = append(components, withoutDrain(daemon.HTTPServerComponent("metrics", address, nil, n.telemetry.Handler())))
+		components = append(components, withoutDrain(daemon.HTTPServerComponent("metrics", address, nil, n.telemetry.Handler(), n.telemetry)))
 	}
 	return components
 }
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -16,6 +16,10 @@
 	EntryLifetime time.Duration
 	// DrainLimit is the maximum wait, after SIGTERM, for requests in progress, counted from the end of EntryLifetime.
 	DrainLimit time.Duration
+	// BodyMemoryMB is the memory in MiB for the bodies of callers' requests.
+	BodyMemoryMB int
+	// CallerConnections is the maximum number of connections from callers.
+	CallerConnections int
 }
 
 // LoadGateway reads the settings of a gateway. The error is a *ValidationError or flag.ErrHelp.
@@ -33,6 +37,10 @@
 		"how long callers may use an address from GET /v1/entry", time.Second, 10*time.Minute)
 	r.duration(&g.DrainLimit, "drain-limit", 10*time.Minute,
 		"maximum wait for requests in progress after SIGTERM, counted from the end of --entry-lifetime", 0, 24*time.Hour)
+	r.integer(&g.BodyMemoryMB, "body-memory-mb", 32,
+		"memory in MiB for the bodies of callers' requests; one team gets at most half of it, and the largest body needs up to twice its size", 16, 1<<20)
+	r.integer(&g.CallerConnections, "caller-connections", 4096,
+		"maximum number of connections from callers; half of the process's file descriptors if that is less", 16, 1<<20)
 	r.common(&g.Common, "0.0.0.0:8081", "0.0.0.0:8082")
 	return r, g
 }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -25,6 +25,15 @@
 	Claim      ClaimMetrics
 	Usage      UsageMetrics
 	Link       LinkMetrics
+	Ports      PortMetrics
+}
+
+// PortMetrics records clients that are refused because a port is at one of its limits.
+type PortMetrics struct{ refused metric.Int64Counter }
+
+// Refused counts a closed connection or a refused body. cause is "full" or "evicted" for connections, "memory" for bodies.
+func (m *PortMetrics) Refused(ctx context.Context, port, cause string) {
+	m.refused.Add(ctx, 1, labels("port", port, "cause", cause))
 }
 
 // AdmissionMetrics records admission: requests that wait in the fair queue, leave it or are refused.
@@ -311,6 +320,7 @@
 			b.counter("usage_reports_failed", "failed reports of usage windows")},
 		Link: LinkMetrics{b.counter("link_bytes", "bytes of control traffic on connections, with framing"),
 			b.counter("message_bytes", "bytes of gRPC messages between gateways and controllers")},
+		Ports: PortMetrics{b.counter("port_refused", "connections and bodies refused at the limits of a port, by port and cause")},
 	}
 	if b.err != nil {
 		return nil, errors.Wrap(b.err, "create metrics")
