admin: account for the memory of request bodies

Clients with a credential could make a controller hold bodies without a common bound: 256 MiB with 200 connections that send far over the limit, after the bounds of connections and headers.

--- a/internal/controller/admin/server.go
+++ b/internal/controller/admin/server.go
@@ -2,6 +2,8 @@
 package admin
 
 import (
+	"bytes"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -12,6 +14,7 @@
 	"crocusglade.example/crocusglade/internal/apierror"
 	"crocusglade.example/crocusglade/internal/apitypes"
 	"crocusglade.example/crocusglade/internal/auth"
+	"crocusglade.example/crocusglade/internal/buffer"
 	"crocusglade.example/crocusglade/internal/config"
 	"crocusglade.example/crocusglade/internal/membership"
 	"crocusglade.example/crocusglade/internal/objectstore"
@@ -44,7 +47,8 @@
 	e := echo.New()
 	e.HideBanner = true
 	e.HTTPErrorHandler = writeError
-	g := e.Group("/admin/v1", limitBody, s.authenticate)
+	bodies := buffer.NewMemory(maxBodiesBytes)
+	g := e.Group("/admin/v1", s.authenticate, func(next echo.HandlerFunc) echo.HandlerFunc { return readBody(bodies, next) })
 	g.GET("/config/:kind", s.listConfig)
 	g.GET("/config/:kind/:name", s.getConfig)
 	g.PUT("/config/:kind/:name", s.putConfig)
@@ -66,9 +70,32 @@
 	return e
 }
 
-func limitBody(next echo.HandlerFunc) echo.HandlerFunc {
+// maxBodiesBytes bounds the memory for the bodies of all requests in progress. One credential may occupy half of it.
+const maxBodiesBytes = 32 << 20
+
+// readBody reads the body within the memory of bodies before the handler runs.
+func readBody(bodies *buffer.Memory, next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		c.Request().Body = http.MaxBytesReader(c.Response(), c.Request().Body, objectstore.MaxValueBytes)
+		r := c.Request()
+		if r.Body == http.NoBody {
+			return next(c)
+		}
+		memory := bodies.Reserve(c.Get(administratorContextKey).(auth.Administrator).Name)
+		defer memory.Release()
+		data, err := memory.ReadAll(http.MaxBytesReader(c.Response(), r.Body, objectstore.MaxValueBytes), objectstore.MaxValueBytes)
+		var tooLarge *http.MaxBytesError
+		switch {
+		case errors.As(err, &tooLarge):
+			return apierror.New(apierror.TooLarge, "split the object; the platform accepts at most 1 MiB", "the body is too large")
+		case errors.Is(err, buffer.ErrTooLarge):
+			c.Response().Header().Set("Connection", "close")
+			e := apierror.New(apierror.Overloaded, "wait and retry", "this controller has no memory for the body now")
+			e.RetryAfterSeconds = 1
+			return e
+		case err != nil:
+			return apierror.New(apierror.InvalidRequest, "send the complete body", "the body is incomplete")
+		}
+		r.Body = io.NopCloser(bytes.NewReader(data))
 		return next(c)
 	}
 }
@@ -114,6 +141,9 @@
 		err = apierror.New(kind, "check method, path and body against the administration API", "%v", he.Message)
 	}
 	e := apierror.From(err, apierror.ExecutionUnknown)
+	if e.RetryAfterSeconds > 0 {
+		c.Response().Header().Set("Retry-After", strconv.Itoa(e.RetryAfterSeconds))
+	}
 	_ = c.JSON(e.HTTPStatus(), map[string]any{"error": e})
 }
 
