--- a/internal/daemon/http_server.go
+++ b/internal/daemon/http_server.go
@@ -32,12 +32,15 @@
 )
 
 const (
-	// callerDescriptorShare and otherDescriptorShare are the shares of the process's descriptors for the connections to the port for
-	// callers and to each other port. The rest remains for endpoints, the platform and other VMs.
+	// callerDescriptorShare, vmDescriptorShare and otherDescriptorShare are the shares of the process's descriptors for the connections to the
+	// port for callers, for other VMs, and to each other port. The rest remains for endpoints, the platform and other VMs.
 	callerDescriptorShare = 0.5
+	vmDescriptorShare     = 0.25
 	otherDescriptorShare  = 0.0625
 	// maxOtherConnections bounds the connections to a port that is not for callers. They occupy about 32 KiB each.
 	maxOtherConnections = 256
+	// maxVMConnections bounds those to the port for other VMs, of which there may be 330.
+	maxVMConnections = 1024
 	// refusalLogInterval is the minimum interval of log lines on refusals, and the time without one after which refusing has ended.
 	refusalLogInterval = time.Second
 )
@@ -57,6 +60,12 @@
 	return newHTTPServerComponent(name, address, config, handler, t, connectionLimit(maxOtherConnections, otherDescriptorShare))
 }
 
+// VMServerComponent is like HTTPServerComponent for a port that all other VMs may call at the same moment, for example after a change of the
+// configuration.
+func VMServerComponent(name, address string, handler http.Handler, t *telemetry.Telemetry) Component {
+	return newHTTPServerComponent(name, address, nil, handler, t, connectionLimit(maxVMConnections, vmDescriptorShare))
+}
+
 // newHTTPServerComponent is like HTTPServerComponent with a bound for the connections. At the bound, a new connection replaces the one that
 // has been without a running request for the longest; if all run requests, the new one is closed.
 func newHTTPServerComponent(name, address string, config *tls.Config, handler http.Handler, t *telemetry.Telemetry, maxConnections int) Component {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -207,7 +207,7 @@
 		{Name: "endpoints", Run: n.newWatcher(n.Kinds.Endpoints, n.registry.ReplaceEntries, n.registry.ApplyEvents).Run},
 		{Name: "vms", Run: n.maintainRegistration},
 		{Name: "link", Run: n.link.Run},
-		withoutDrain(daemon.HTTPServerComponent("link catalog", n.linkAddress(n.IP), nil, n.linkHandler(), n.telemetry)),
+		withoutDrain(daemon.VMServerComponent("link catalog", n.linkAddress(n.IP), n.linkHandler(), n.telemetry)),
 		withoutDrain(daemon.HTTPServerComponent("ready", n.Settings.ReadinessListenAddress, nil, n.Adapter.NewReadinessHandler(n.ready), n.telemetry)),
 		withoutDrain(daemon.HTTPServerComponent("directory", n.Settings.DirectoryListenAddress, nil, n.Adapter.NewDirectoryHandler(n.addresses), n.telemetry)),
 		{Name: "connections", Run: n.pruneConnections},
