node: clients outside the limits can't use up memory or descriptors

Callers were trusted: a body was read whole before its key was checked, an announced length was allocated at once, and neither bodies, headers nor connections were bounded.

Change: internal/callerlimit accounts for bodies and headers as they arrive, evicts requests without progress (408, or closed), refuses what does not fit (503 with Retry-After), and bounds connections by limits.memory_mb and limits.file_descriptors, which is read now. Route and key are checked before the body is read. Every response has a write deadline.

--- a/internal/apierror/apierror.go
+++ b/internal/apierror/apierror.go
@@ -34,6 +34,7 @@
 	KeyWithdrawn          Kind = "key_withdrawn"           // 401
 	Forbidden             Kind = "forbidden"               // 403
 	NotFound              Kind = "not_found"               // 404
+	RequestTimeout        Kind = "request_timeout"         // 408
 	Conflict              Kind = "conflict"                // 409
 	InProgress            Kind = "in_progress"             // 409
 	PreconditionFailed    Kind = "precondition_failed"     // 412
@@ -54,7 +55,7 @@
 
 var httpStatusByKind = map[Kind]int{
 	InvalidRequest: http.StatusBadRequest, Unauthenticated: http.StatusUnauthorized, KeyWithdrawn: http.StatusUnauthorized,
-	Forbidden: http.StatusForbidden, NotFound: http.StatusNotFound, Conflict: http.StatusConflict, InProgress: http.StatusConflict,
+	Forbidden: http.StatusForbidden, NotFound: http.StatusNotFound, RequestTimeout: http.StatusRequestTimeout, Conflict: http.StatusConflict, InProgress: http.StatusConflict,
 	PreconditionFailed: http.StatusPreconditionFailed, TooLarge: http.StatusRequestEntityTooLarge,
 	IdempotencyMismatch: http.StatusUnprocessableEntity, Quarantined: http.StatusUnprocessableEntity,
 	RateLimited: http.StatusTooManyRequests, Overloaded: http.StatusServiceUnavailable,
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -299,6 +299,22 @@
 	c.servePlain()
 }
 
+// CheckHead performs the checks of a request that need no body, so that nothing is read for a request that is refused anyway. It answers
+// the request and returns false if it is refused. Otherwise it returns the request's time limit; Serve repeats the checks. prepare is called
+// before the request is answered.
+func (s *Server) CheckHead(ctx context.Context, r *Request, w Reply, prepare func()) (time.Duration, bool) {
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	c := &call{Server: s, ctx: ctx, r: r, w: w}
+	s.awaitReady(ctx)
+	if _, refusal, retryAfter := c.admitHead(); refusal != nil {
+		prepare()
+		c.refuse(refusal, retryAfter)
+		return 0, false
+	}
+	return c.timeLimit(), true
+}
+
 // awaitReady delays requests that arrive while the VM starts, for at most startupGrace after the start. If the store responds, the
 // endpoints are loaded within milliseconds; a refusal would delay the caller for longer.
 func (s *Server) awaitReady(ctx context.Context) {
@@ -309,25 +325,27 @@
 	}
 }
 
-// admit selects the route, the team and the service, and returns an error with its Retry-After time if the request is refused. It accepts
-// keys only while the configuration is recent enough to rule out that they were withdrawn.
-func (c *call) admit() (*apierror.Error, time.Duration) {
+// admitHead selects the route and the team, and returns the configuration, or an error with its Retry-After time if the request is
+// refused. It accepts keys only while the configuration is recent enough to rule out that they were withdrawn. It doesn't use the body.
+func (c *call) admitHead() (*catalog.Catalog, *apierror.Error, time.Duration) {
 	cat := c.Catalog.Current()
 	if cat == nil {
-		return apierror.New(apierror.Unavailable, "retry soon or use another address", "this VM has not loaded a configuration yet"), retryAfterUnready
+		return nil, apierror.New(apierror.Unavailable, "retry soon or use another address", "this VM has not loaded a configuration yet"), retryAfterUnready
 	}
 	age := c.configAge()
 	c.route = cat.Match(c.r.Host, c.r.Path)
 	if c.route == nil {
-		return c.denial(age, apierror.NotFound, "use a configured host and path", "no route matches the host and path")
+		refusal, retryAfter := c.denial(age, apierror.NotFound, "use a configured host and path", "no route matches the host and path")
+		return nil, refusal, retryAfter
 	}
 	team, known := cat.TeamsByKey[c.r.Key]
 	if cat.RequiresKeys && !c.route.AllowAnonymous {
 		if !known {
-			return c.denial(age, apierror.Unauthenticated, "send a valid key", "the key is unknown")
+			refusal, retryAfter := c.denial(age, apierror.Unauthenticated, "send a valid key", "the key is unknown")
+			return nil, refusal, retryAfter
 		}
 		if age > c.Bounds().RevokeBound-revokeMargin {
-			return apierror.New(apierror.Unavailable, "retry at another address",
+			return nil, apierror.New(apierror.Unavailable, "retry at another address",
 				"this VM can't confirm that the key is still in force (configuration confirmed %d ms ago)", age.Milliseconds()), time.Second
 		}
 	}
@@ -336,7 +354,16 @@
 		c.priority = team.Priority
 	}
 	if refusal := c.stopRefusal(); refusal != nil {
-		return refusal, retryAfterStopping
+		return nil, refusal, retryAfterStopping
+	}
+	return cat, nil, 0
+}
+
+// admit performs the checks of admitHead and those that need the body, and selects the service.
+func (c *call) admit() (*apierror.Error, time.Duration) {
+	cat, refusal, retryAfter := c.admitHead()
+	if refusal != nil {
+		return refusal, retryAfter
 	}
 	c.service = c.route.PickService(c.nextPick())
 	c.deadline = c.r.Arrived.Add(c.timeLimit())
--- a/internal/node/caller_server.go
+++ b/internal/node/caller_server.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"crocusglade.example/crocusglade/internal/callerlimit"
 	"crocusglade.example/crocusglade/internal/ctxtime"
 	"crocusglade.example/crocusglade/internal/daemon"
 )
@@ -15,6 +16,9 @@
 const (
 	// callerHeaderTimeout bounds the time to read a request's header.
 	callerHeaderTimeout = 10 * time.Second
+	// callerWriteTimeout bounds the writes of responses that net/http sends by itself, to invalid requests. The handler sets the deadlines
+	// of all others.
+	callerWriteTimeout = 15 * time.Second
 	// callerIdleTimeout is longer than the idle timeouts that operators configure for callers, so that a caller that respects its
 	// own timeout never reuses a connection that the server has closed.
 	callerIdleTimeout = 90 * time.Second
@@ -41,7 +45,11 @@
 // had time to switch to other VMs, and then closes the listener.
 func (n *Node) callerServerComponent() daemon.Component {
 	server := &http.Server{Handler: n.Adapter.NewCallerHandler(n.server, n.catalogHolder, n.draining.Load), ReadHeaderTimeout: callerHeaderTimeout,
-		IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes, DisableGeneralOptionsHandler: true, ConnState: n.activeConns.update}
+		WriteTimeout: callerWriteTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes, DisableGeneralOptionsHandler: true, ConnContext: callerlimit.ConnContext,
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			n.activeConns.update(conn, state)
+			n.callers.ConnState(conn, state)
+		}}
 	return daemon.Component{Name: "front",
 		Run: func(ctx context.Context) error {
 			listenConfig := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: callerKeepAliveInterval, Interval: callerKeepAliveInterval, Count: 2}}
@@ -51,7 +59,7 @@
 			}
 			n.callerListener.Store(newCallerListener(listener))
 			defer context.AfterFunc(ctx, func() { _ = server.Close() })()
-			err = server.Serve(n.callerListener.Load())
+			err = server.Serve(n.callers.Listener(n.callerListener.Load()))
 			if errors.Is(err, http.ErrServerClosed) {
 				<-ctx.Done() // closed by a drain; the component ends with its context
 				return nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"crocusglade.example/crocusglade/internal/apitypes"
 	"crocusglade.example/crocusglade/internal/bootclock"
 	"crocusglade.example/crocusglade/internal/buffer"
+	"crocusglade.example/crocusglade/internal/callerlimit"
 	"crocusglade.example/crocusglade/internal/catalog"
 	"crocusglade.example/crocusglade/internal/daemon"
 	"crocusglade.example/crocusglade/internal/discovery"
@@ -100,6 +101,8 @@
 	retryBudget   *retry.WindowBudget
 	bounds        atomic.Pointer[ingress.Bounds]
 	activeConns   activeConns
+	// callers bounds what callers take of this process.
+	callers *callerlimit.Gate
 	// callerListener is nil until the server for callers has started.
 	callerListener atomic.Pointer[callerListener]
 	draining       atomic.Bool
@@ -122,6 +125,7 @@
 	n := &Node{Settings: s, Adapter: a, log: t.Log, telemetry: t, incarnation: uuid.NewString()[:incarnationLength], catalogHolder: &catalog.Holder{},
 		medianClock: vmlink.NewMedianClock(), ledger: metering.NewLedger(), startedAt: time.Now()}
 	n.watchCaches = map[string]*discovery.WatchCache{a.Kinds.Config: discovery.NewWatchCache(), a.Kinds.Endpoints: discovery.NewWatchCache()}
+	n.callers = callerlimit.NewGate(callerlimit.LimitsFor(s.MemoryMB, s.FileDescriptors))
 	n.fleet = placement.New(s.FailureDomain, placement.DefaultWeights)
 	n.fleet.Log = n.log
 	if a.OnNotice != nil {
@@ -142,6 +146,9 @@
 	if err := t.ObserveExchange(n.link.OmittedReads, n.incompleteWindows.Load); err != nil {
 		return nil, err
 	}
+	if err := t.ObserveCallers(n.callerLoad); err != nil {
+		return nil, err
+	}
 	n.fleet.OnNotice = requestMetrics.EndpointNotice
 	parts.SetProbeOwnership(n.link.OwnsProbe)
 	parts.OnChange(func(part retry.Part, blocked bool, crashes int) {
@@ -203,6 +210,7 @@
 		withoutDrain(daemon.HTTPServerComponent("ready", n.Settings.ReadinessListenAddress, nil, n.Adapter.NewReadinessHandler(n.ready))),
 		withoutDrain(daemon.HTTPServerComponent("directory", n.Settings.DirectoryListenAddress, nil, n.Adapter.NewDirectoryHandler(n.addresses))),
 		{Name: "connections", Run: n.pruneConnections},
+		{Name: "caller limits", Run: n.logCallerRefusals},
 		{Name: "duties", Run: n.runDuties},
 		{Name: "kept parts", Run: n.warmUpCachedParts},
 		{Name: "settings", Run: n.watchSettings},
@@ -267,6 +275,7 @@
 		return
 	}
 	n.fleet.SetServices(c.Services)
+	n.callers.SetHeaderTimeout(c.Limits.HeaderTimeout)
 	n.log.Info().Uint64("version", c.Version).Uint64("revision", c.Revision).Int("routes", len(c.Routes)).
 		Int("keys", len(c.TeamsByKey)).Str("source", source).Msg("configuration in force")
 }
