--- a/internal/ingress/quota.go
+++ b/internal/ingress/quota.go
@@ -18,6 +18,7 @@
 
 // quotaAccount counts what a request took from its team's quota. It stays zero for teams without one.
 type quotaAccount struct {
+	quota   catalog.Quota
 	limited bool
 	cost    int64
 	// paidRuns is the number of runs whose cost was taken, possibleQuotaRuns the number of exchanges that may have run the request.
@@ -27,7 +28,8 @@
 }
 
 // takeQuota takes the cost of the request from its team's quota, or returns the error of a request over the quota.
-func (c *call) takeQuota(q *catalog.Quota) (*apierror.Error, time.Duration) {
+func (c *call) takeQuota() (*apierror.Error, time.Duration) {
+	q := &c.quota
 	if q.RatePerSecond <= 0 {
 		return nil, 0
 	}
--- a/internal/ingress/quota_test.go
+++ b/internal/ingress/quota_test.go
@@ -39,11 +39,11 @@
 		for _, limited := range []bool{true, false} {
 			q, want := &ledgerQuota{}, test.want
 			c := &call{Server: New(Config{Quota: q}), r: &Request{}, team: "t"}
-			quota := catalog.Quota{InTokens: true, PlainTokens: 7, RatePerSecond: 1}
+			c.quota = catalog.Quota{InTokens: true, PlainTokens: 7, RatePerSecond: 1}
 			if !limited {
-				quota.RatePerSecond, want = 0, 0
+				c.quota.RatePerSecond, want = 0, 0
 			}
-			if err, _ := c.takeQuota(&quota); err != nil {
+			if err, _ := c.takeQuota(); err != nil {
 				t.Fatal(err)
 			}
 			test.steps(c)
