tests: client loads run in a step of their own, one process per port

They check the memory of processes, so they run one at a time with nothing beside them: `make race` runs them after the other tests, which skip them. A process gets all loads of its port in turn, with the crowd and the bounds as before, so its peak memory has to hold over all of them.

--- a/Makefile
+++ b/Makefile
@@ -20,8 +20,10 @@
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
+# The tests that put load on single processes run one at a time afterwards, because they check memory.
 race:
 	./scripts/test-with-known-red.sh $(GO) test -race -count=1 -timeout=20m ./...
+	LOAD_TESTS=1 $(GO) test -count=1 -p 1 -timeout=20m -run 'Misbehaving|ClientLoad|SlowCaller' ./internal/e2e ./platform/soak
 
 # cgo-check verifies that the released binaries are dynamically linked to the C library.
 cgo-check: build
--- a/internal/e2e/client_limits_test.go
+++ b/internal/e2e/client_limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -18,18 +19,30 @@
 	smallestVMDescriptors = 3075
 )
 
+// requireLoadTests skips a test that runs apart from other load unless LOAD_TESTS is set, which `make race` does for a step of its own.
+func requireLoadTests(t *testing.T) {
+	t.Helper()
+	if os.Getenv("LOAD_TESTS") == "" {
+		t.Skip("set LOAD_TESTS=1 to run this test, with nothing beside it")
+	}
+}
+
 // Guards against clients outside the limits that make a gateway or a controller use up the memory or the descriptors of its VM, or stop
 // answering others.
 func TestMisbehavingClientsDoNotExhaustProcess(t *testing.T) {
+	requireLoadTests(t)
 	for _, port := range []string{"callers", "gateway metrics", "gateway peers", "administration", "administration with credential"} {
-		for _, load := range fault.ClientLoads() {
-			t.Run(port+"/"+load.Name, func(t *testing.T) { testClientLoad(t, port, load) })
-		}
+		t.Run(port, func(t *testing.T) {
+			c := newCluster(t, options{})
+			for _, load := range fault.ClientLoads() {
+				t.Run(load.Name, func(t *testing.T) { testClientLoad(t, c, port, load) })
+			}
+		})
 	}
 }
 
-func testClientLoad(t *testing.T, port string, load fault.ClientLoad) {
-	c := newCluster(t, options{})
+// testClientLoad puts a load on a port. The memory of the processes is that of all loads so far.
+func testClientLoad(t *testing.T, c *cluster, port string, load fault.ClientLoad) {
 	v := c.vms[0]
 	process, address, head := v.gateway, v.GatewayAddr, "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer "+c.keys["skippers"]+"\r\n"
 	ordinary := func() bool {
