tests: client loads are deferred by the Makefile, not skipped in the code

The tests skipped themselves unless a variable was set, so a plain `go test ./...` passed without them. They always run now; only `make race` defers them from its parallel run to a step of their own.

--- a/Makefile
+++ b/Makefile
@@ -20,10 +20,12 @@
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
-# The tests that put load on single processes run one at a time afterwards, because they check memory.
+# LOAD_TESTS put load on single processes and check their memory. They run one at a time, after the other tests.
+LOAD_TESTS := ^(TestMisbehavingClientsDoNotExhaustProcess|TestMisbehavingClientsLeaveTheNodeServing|TestSlowCallerIsServedDuringLoad|TestClientLoadOnNodePorts)$$
+
 race:
-	./scripts/test-with-known-red.sh $(GO) test -race -count=1 -timeout=20m ./...
-	LOAD_TESTS=1 $(GO) test -count=1 -p 1 -timeout=20m -run 'Misbehaving|ClientLoad|SlowCaller' ./internal/e2e ./platform/soak
+	DEFERRED_TESTS='$(LOAD_TESTS)' ./scripts/test-with-known-red.sh $(GO) test -race -count=1 -timeout=20m ./...
+	$(GO) test -count=1 -p 1 -timeout=20m -run '$(LOAD_TESTS)' ./internal/e2e ./platform/soak
 
 # cgo-check verifies that the released binaries are dynamically linked to the C library.
 cgo-check: build
--- a/internal/e2e/client_limits_test.go
+++ b/internal/e2e/client_limits_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"os"
 	"testing"
 	"time"
 
@@ -19,18 +18,9 @@
 	smallestVMDescriptors = 3075
 )
 
-// requireLoadTests skips a test that runs apart from other load unless LOAD_TESTS is set, which `make race` does for a step of its own.
-func requireLoadTests(t *testing.T) {
-	t.Helper()
-	if os.Getenv("LOAD_TESTS") == "" {
-		t.Skip("set LOAD_TESTS=1 to run this test, with nothing beside it")
-	}
-}
-
 // Guards against clients outside the limits that make a gateway or a controller use up the memory or the descriptors of its VM, or stop
 // answering others.
 func TestMisbehavingClientsDoNotExhaustProcess(t *testing.T) {
-	requireLoadTests(t)
 	for _, port := range []string{"callers", "gateway metrics", "gateway peers", "administration", "administration with credential"} {
 		t.Run(port, func(t *testing.T) {
 			c := newCluster(t, options{})
