--- a/review/rig2/history.go
+++ b/review/rig2/history.go
@@ -158,7 +158,7 @@
 	m := d.machines[index]
 	for !ended.Load() {
 		time.Sleep(20 * time.Millisecond)
-		mb := residentMB(m.cmd.Process.Pid)
+		mb := residentMB(int(m.pid.Load()))
 		if mb <= float64(memoryMB) {
 			continue
 		}
@@ -175,7 +175,7 @@
 func (d *deployment) memory() string {
 	var b strings.Builder
 	for _, m := range d.machines {
-		fmt.Fprintf(&b, " %.0f", residentMB(m.cmd.Process.Pid))
+		fmt.Fprintf(&b, " %.0f", residentMB(int(m.pid.Load())))
 	}
 	return b.String()
 }
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -10,8 +10,10 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -57,6 +59,8 @@
 	settings string
 	cmd      *exec.Cmd
 	done     chan struct{}
+	// pid is the id of the running or last process.
+	pid atomic.Int64
 }
 
 // limits are the limits of a machine in its settings.
@@ -64,12 +68,13 @@
 
 // deployment is a small deployment on loopback addresses.
 type deployment struct {
-	rec      *record
-	dir      string
-	program  string
-	store    *standin.Store
-	cloud    *standin.Cloud
-	ports    [5]int
+	rec     *record
+	dir     string
+	program string
+	store   *standin.Store
+	cloud   *standin.Cloud
+	// ports are those for clients, readiness, the directory, other machines, control and metrics.
+	ports    [6]int
 	machines []*machine
 	limits   limits
 }
@@ -182,7 +187,7 @@
 	if err != nil {
 		cantRun("log: %v", err)
 	}
-	m.cmd = exec.Command(d.program, "node", "--metrics-port", "0")
+	m.cmd = exec.Command(d.program, "node", "--metrics-port", strconv.Itoa(d.ports[5]))
 	m.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "CROCUSGLADE_CONFIG=" + m.settings}
 	m.cmd.Stdout, m.cmd.Stderr = log, log
 	m.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -190,6 +195,7 @@
 		cantRun("start machine %d: %v", m.number, err)
 	}
 	m.done = make(chan struct{})
+	m.pid.Store(int64(m.cmd.Process.Pid))
 	go func(cmd *exec.Cmd, done chan struct{}) {
 		_ = cmd.Wait() // the exit status doesn't matter
 		_ = log.Close()
