review: case 8, a repeated refusal makes a stream run twice; 8 and 9 become 9 and 10

Cause, by reading and by the record: an engine turns a request away with Retry-After and sends this answer a second time, at the point where the next one is expected. The machine has sent the same request again on that connection and takes the refusal, which has the request's id, for its answer. The stream, which may not be resumed, runs a second time, or the client gets 503 and it runs. The cases are numbered by weight, so the former 8 and 9 move.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -4,4 +4,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -x target/rig2 ] && [ -x target/crocusgladed ] || { echo "run the build of the deploy file and review/build-2.sh first"; exit 2; }
-TROUBLE=${TROUBLE:-1} target/rig2 slow "$folder"
+TROUBLE=${TROUBLE:-1} target/rig2 tainted "$folder"
