logs: a blocked part names its rivals, requests say whether they probe it and how old the list of endpoints is

Cause: the log could not tell the hypotheses of two faults apart. Change: retry.PartChange carries the crashes, the rivals and the origin of a change; PartQuarantine.Admit returns an Admission, which says whether the request is a probe; request lines have probes_part and endpoints_age_ms; a watcher logs the source, revision and age of each list. No decision changes.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -101,9 +101,8 @@
 // newPartQuarantine returns a quarantine of messages that logs what it blocks.
 func (g *gatewayNode) newPartQuarantine() *retry.PartQuarantine {
 	parts := retry.NewPartQuarantine(bootclock.NowAsTime)
-	parts.OnChange(func(part retry.Part, blocked bool, crashes int) {
-		g.telemetry.Log.Warn().Str("pool", part.Service).Str("part", part.ID).Bool("blocked", blocked).Int("crashes", crashes).
-			Msg("message that crashes engines")
+	parts.OnChange(func(c retry.PartChange) {
+		g.telemetry.Log.Warn().Str("pool", c.Part.Service).EmbedObject(c).Msg("message that crashes engines")
 	})
 	return parts
 }
--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -28,7 +28,9 @@
 	Changed func([]catalog.Endpoint)
 	Log     zerolog.Logger
 
-	synced    atomic.Bool
+	synced atomic.Bool
+	// asOf is the bootclock.Instant up to which the entries are complete.
+	asOf      atomic.Int64
 	mu        sync.Mutex
 	endpoints map[string]catalog.Endpoint
 	// expired holds endpoints whose entries were missing from the first list after an outage, until expiredUntil. A deletion event
@@ -44,7 +46,8 @@
 func (r *Registry) UnusableEntries() int64 { return r.unusableCount.Load() }
 
 // ReplaceEntries replaces all entries with those of a list. outage is how long the store couldn't be read before, 0 if it could.
-func (r *Registry) ReplaceEntries(items []apitypes.Object, _ uint64, _ bootclock.Instant, outage time.Duration) {
+func (r *Registry) ReplaceEntries(items []apitypes.Object, _ uint64, asOf bootclock.Instant, outage time.Duration) {
+	r.asOf.Store(int64(asOf))
 	r.mu.Lock()
 	old := r.endpoints
 	r.endpoints = make(map[string]catalog.Endpoint, len(items))
@@ -73,8 +76,12 @@
 // HasSynced reports whether the endpoints have been listed at least once.
 func (r *Registry) HasSynced() bool { return r.synced.Load() }
 
+// Age returns how long ago the store was known to hold no newer entries. HasSynced must be true.
+func (r *Registry) Age() time.Duration { return bootclock.Since(bootclock.Instant(r.asOf.Load())) }
+
 // ApplyEvents applies changes of entries, and drops expired entries after the grace period.
-func (r *Registry) ApplyEvents(events []apitypes.Event, _ uint64, _ bootclock.Instant) {
+func (r *Registry) ApplyEvents(events []apitypes.Event, _ uint64, asOf bootclock.Instant) {
+	r.asOf.Store(int64(asOf))
 	r.mu.Lock()
 	graceEnded := r.expired != nil && bootclock.Now() > r.expiredUntil
 	if graceEnded {
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -113,6 +114,8 @@
 	if w.Cache != nil {
 		w.Cache.ReplaceObjects(items, revision, asOf)
 	}
+	w.Log.Info().Str("kind", w.Kind).Str("source", fmt.Sprint(source)).Uint64("revision", revision).
+		Int64("age_ms", bootclock.Since(asOf).Milliseconds()).Msg("listed, watching for changes")
 	w.OnList(items, revision, asOf, w.markRegained(revision))
 	for ctx.Err() == nil && w.Source() == source {
 		revision, err = w.poll(ctx, source, revision)
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -83,8 +83,8 @@
 	if g.opts.Quarantine.Blocked(c.fingerprint) {
 		return nil, quarantinedError()
 	}
-	if retryAfter, ok := g.opts.Parts.Admit(c.sharedParts); !ok {
-		return nil, quarantinedPartError(retryAfter)
+	if admission := g.opts.Parts.Admit(c.sharedParts); !admission.OK {
+		return nil, quarantinedPartError(admission.RetryAfter)
 	}
 	started = true
 	return m, nil
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -147,6 +147,8 @@
 	OnMisdirected func(endpoint string, d time.Duration)
 	// Ready reports whether the configuration and the endpoints have been loaded.
 	Ready func() bool
+	// EndpointsAge returns how long ago the list of endpoints was known to be current, for the log; nil if unknown.
+	EndpointsAge func() time.Duration
 	// Bounds returns the current bounds of the deployment. They may change.
 	Bounds func() Bounds
 	// MaxBufferedBytes bounds the responses that this VM buffers at the same time; 0 means buffer.DefaultMax.
@@ -229,6 +231,8 @@
 	// fingerprint identifies the request in the quarantine, sharedParts the shared parts of its prompt.
 	fingerprint uint64
 	sharedParts []retry.Part
+	// probesPart is true for a request with a blocked part that is let through as a probe.
+	probesPart bool
 	// excluded holds the IDs of the endpoints that failed or refused the request.
 	excluded map[string]bool
 	// dispatches counts the exchanges with endpoints, possibleRuns those that failed although the endpoint may have run the request.
@@ -382,10 +386,12 @@
 			c.sharedParts = append(c.sharedParts, retry.NewPart(c.service, id))
 		}
 	}
-	if retryAfter, ok := c.Parts.Admit(c.sharedParts); !ok {
+	admission := c.Parts.Admit(c.sharedParts)
+	if !admission.OK {
 		c.Observe.PartRefused(c.service)
-		return errCrashingPart(), retryAfter
+		return errCrashingPart(), admission.RetryAfter
 	}
+	c.probesPart = admission.Probe
 	c.objective = cat.MaxObjectiveByService[c.service]
 	c.Budget.RecordFirstTry(c.service)
 	return nil, 0
@@ -527,12 +533,18 @@
 	}
 	c.Observe.Finished(name, outcome, total, c.firstResponseAfter)
 	line := c.Log.Info()
-	if c.sawCrash && c.r.Prompt != nil {
+	if c.probesPart {
+		line = line.Bool("probes_part", true)
+	}
+	if (c.sawCrash || c.probesPart) && c.r.Prompt != nil {
 		line = line.Strs("shared_parts", c.r.Prompt.SharedPartIDs())
 	}
 	if c.unavailable != "" {
 		line = line.Str("unavailable", c.unavailable)
 	}
+	if c.EndpointsAge != nil {
+		line = line.Int64("endpoints_age_ms", c.EndpointsAge().Milliseconds())
+	}
 	line.Str("request", c.r.ID).Str("route", name).Str("service", c.service).Str("team", c.team).
 		Str("endpoint", c.endpoint).Str("reader", c.prefillEndpoint).Int("sends", c.dispatches).
 		Int64("predicted_ms", c.predicted.Milliseconds()).Int("unread_tokens", c.prefillTokens).Bool("fetched", c.fetchedCache).
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -159,14 +159,15 @@
 	}
 	n.fleet.OnNotice = requestMetrics.EndpointNotice
 	parts.SetProbeOwnership(n.link.OwnsProbe)
-	parts.OnChange(func(part retry.Part, blocked bool, crashes int) {
-		requestMetrics.PartChanged(blocked)
-		n.log.Warn().Str("service", part.Service).Str("part", part.ID).Bool("blocked", blocked).Int("crashes", crashes).Msg("prompt part that crashes engines")
+	parts.OnChange(func(c retry.PartChange) {
+		requestMetrics.PartChanged(c.Blocked)
+		n.log.Warn().Str("service", c.Part.Service).EmbedObject(c).Msg("prompt part that crashes engines")
 	})
 	n.server = ingress.New(ingress.Config{Catalog: n.catalogHolder, Fleet: n.fleet, Backend: a.Backend, Usage: n.meter,
 		Budget: n.retryBudget, Quarantine: quarantine, Quota: n.quotas, Parts: parts, Log: n.log, Observe: requestMetrics, OnMisdirected: n.link.AnnounceUnavailableEndpoint,
 		MaxBufferedBytes: bufferLimit(s.MemoryMB),
 		Ready:            func() bool { return n.catalogHolder.Current() != nil && n.registry.HasSynced() },
+		EndpointsAge:     n.registry.Age,
 		Bounds:           func() ingress.Bounds { return *n.bounds.Load() }, TimeToStop: n.timeToStop})
 	return n, nil
 }
--- a/internal/node/watch_source.go
+++ b/internal/node/watch_source.go
@@ -92,6 +92,9 @@
 	kind string
 }
 
+// String names the source in logs.
+func (s storeSource) String() string { return "store" }
+
 func (s storeSource) source() discovery.StoreSource {
 	return discovery.StoreSource{Store: s.node.Store}
 }
@@ -125,6 +128,9 @@
 	link string
 }
 
+// String names the source in logs.
+func (r relaySource) String() string { return "vm " + r.link }
+
 var relayClient = &http.Client{Transport: &http.Transport{DialContext: netdial.NewDialer(vmCallTimeout/2, vmCallTimeout).DialContext,
 	DisableCompression: true, MaxIdleConnsPerHost: 4, IdleConnTimeout: 10 * time.Second}}
 
--- a/internal/retry/part_quarantine.go
+++ b/internal/retry/part_quarantine.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
 )
 
 const (
@@ -59,7 +60,32 @@
 	explained  map[uint64]time.Time
 	reviewedAt time.Time
 	ownsProbe  func(Part) bool
-	onChange   func(part Part, blocked bool, crashes int)
+	onChange   func(PartChange)
+}
+
+// PartChange says that a part became blocked, or that it no longer is.
+type PartChange struct {
+	Part    Part
+	Blocked bool
+	// Crashes is the number of crashes that count against the part.
+	Crashes int
+	// Rivals holds the other parts that most of these crashes count against too.
+	Rivals []Part
+	// FromPeer is true if another VM's report caused the change.
+	FromPeer bool
+}
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler. The service or pool of the part is left to the caller.
+func (c PartChange) MarshalZerologObject(e *zerolog.Event) {
+	e.Str("part", c.Part.ID).Bool("blocked", c.Blocked).Int("crashes", c.Crashes).Bool("from_peer", c.FromPeer)
+	if len(c.Rivals) == 0 {
+		return
+	}
+	ids := zerolog.Arr()
+	for _, rival := range c.Rivals {
+		ids.Str(rival.ID)
+	}
+	e.Array("rivals", ids)
 }
 
 // partRecord holds what is known of one prompt part.
@@ -89,16 +115,16 @@
 // NewPartQuarantine returns an empty quarantine that reads the time from now.
 func NewPartQuarantine(now func() time.Time) *PartQuarantine {
 	return &PartQuarantine{now: now, records: make(map[Part]*partRecord), explained: make(map[uint64]time.Time),
-		ownsProbe: func(Part) bool { return true }, onChange: func(Part, bool, int) {}}
+		ownsProbe: func(Part) bool { return true }, onChange: func(PartChange) {}}
 }
 
 // SetProbeOwnership sets the function that reports whether this VM sends the probe of a blocked part, so that only one VM does. Set it
 // before use. It must not call the quarantine.
 func (q *PartQuarantine) SetProbeOwnership(owns func(Part) bool) { q.ownsProbe = owns }
 
-// OnChange registers a function that is called when a part becomes blocked, and when it no longer is, with the number of crashes.
-// Register before use. The function must not call the quarantine.
-func (q *PartQuarantine) OnChange(f func(part Part, blocked bool, crashes int)) { q.onChange = f }
+// OnChange registers a function that is called when a part becomes blocked, and when it no longer is. Register before use. The function
+// must not call the quarantine.
+func (q *PartQuarantine) OnChange(f func(PartChange)) { q.onChange = f }
 
 // Part identifies a prompt part of a service's requests.
 type Part struct{ Service, ID string }
@@ -123,27 +149,39 @@
 	return d.Sum64()
 }
 
-// Admit reports whether a request with these shared parts may be sent to an engine, and if not, the time after which a caller may try
-// again. When a blocked part is due for a probe, it admits one request as the probe.
-func (q *PartQuarantine) Admit(parts []Part) (retryAfter time.Duration, ok bool) {
+// Admission says whether a request may be sent to an engine.
+type Admission struct {
+	OK bool
+	// Probe is true for a request with a blocked part that is let through to find out whether the part still crashes engines.
+	Probe bool
+	// RetryAfter is the time after which the caller of a refused request may try again.
+	RetryAfter time.Duration
+}
+
+// Admit decides whether a request with these shared parts may be sent to an engine. When a blocked part is due for a probe, it admits one
+// request as the probe.
+func (q *PartQuarantine) Admit(parts []Part) Admission {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.now()
 	q.review(now)
+	var retryAfter time.Duration
 	for _, part := range parts {
 		if r := q.blockedRecord(part); r != nil && (now.Before(r.probeAt) || !q.ownsProbe(part)) {
 			retryAfter = max(retryAfter, r.untilProbe(now))
 		}
 	}
 	if retryAfter > 0 {
-		return retryAfter, false
+		return Admission{RetryAfter: retryAfter}
 	}
+	probe := false
 	for _, part := range parts {
 		if r := q.blockedRecord(part); r != nil {
 			q.scheduleProbe(r, now)
+			probe = true
 		}
 	}
-	return 0, true
+	return Admission{OK: true, Probe: probe}
 }
 
 // untilProbe returns the time until the next probe of a blocked part, or firstProbeDelay if another VM sends it now.
@@ -260,7 +298,7 @@
 	wasBlocked := r.blocked
 	*r = partRecord{depth: r.depth, lastCrash: r.lastCrash, provenAt: at, ownProof: own}
 	if wasBlocked {
-		q.onChange(part, false, crashes)
+		q.onChange(PartChange{Part: part, Crashes: crashes, FromPeer: !own})
 	}
 }
 
@@ -276,7 +314,7 @@
 		}
 		delete(q.records, part)
 		if r.blocked {
-			q.onChange(part, false, len(r.crashes))
+			q.onChange(PartChange{Part: part, Crashes: len(r.crashes)})
 		}
 	}
 	for id, at := range q.explained {
@@ -333,10 +371,37 @@
 func (q *PartQuarantine) block(part Part, r *partRecord, now time.Time) {
 	r.blocked, r.probeDelay = true, firstProbeDelay
 	q.scheduleProbe(r, now)
+	rivals := q.rivals(part, r)
 	for _, c := range r.crashes {
 		q.explain(c.id, c.at)
 	}
-	q.onChange(part, true, len(r.crashes))
+	q.onChange(PartChange{Part: part, Blocked: true, Crashes: len(r.crashes), Rivals: rivals})
+}
+
+// rivals returns the other parts that at least specificShare of a part's crashes count against too, ordered by ID.
+func (q *PartQuarantine) rivals(part Part, r *partRecord) []Part {
+	var list []Part
+	for other, o := range q.records {
+		if other == part || o.blocked {
+			continue
+		}
+		shared := 0
+		for _, c := range r.crashes {
+			if slices.ContainsFunc(o.crashes, func(known partCrash) bool { return known.isSame(c.id, c.at) }) {
+				shared++
+			}
+		}
+		if shared > 0 && float64(shared) >= specificShare*float64(len(r.crashes)) {
+			list = append(list, other)
+		}
+	}
+	slices.SortFunc(list, func(a, b Part) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+// isSame reports whether a report is about this crash.
+func (c partCrash) isSame(id uint64, at time.Time) bool {
+	return c.id == id && c.at.Sub(at).Abs() < sameCrashWindow
 }
 
 // scheduleProbe sets the time of the next probe.
--- a/internal/retry/part_quarantine_test.go
+++ b/internal/retry/part_quarantine_test.go
@@ -24,10 +24,10 @@
 		q := NewPartQuarantine(time.Now)
 		state := make(map[Part]bool)
 		q.SetProbeOwnership(func(Part) bool { return i == 0 })
-		q.OnChange(func(part Part, blocked bool, _ int) {
-			state[part] = blocked
-			if blocked {
-				f.everBlocked[part.ID] = true
+		q.OnChange(func(c PartChange) {
+			state[c.Part] = c.Blocked
+			if c.Blocked {
+				f.everBlocked[c.Part.ID] = true
 			}
 		})
 		f.vms, f.blocked = append(f.vms, q), append(f.blocked, state)
@@ -118,10 +118,10 @@
 		for range int(firstProbeDelay/time.Second) + 1 {
 			for _, q := range f.vms {
 				for range 3 {
-					if retryAfter, ok := q.Admit(parts("bad")); ok {
+					if a := q.Admit(parts("bad")); a.OK {
 						probes++
-					} else if retryAfter <= 0 || retryAfter > 2*firstProbeDelay {
-						t.Fatalf("refused with retry after %v", retryAfter)
+					} else if a.RetryAfter <= 0 || a.RetryAfter > 2*firstProbeDelay {
+						t.Fatalf("refused with retry after %v", a.RetryAfter)
 					}
 				}
 			}
@@ -185,7 +185,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		q := NewPartQuarantine(time.Now)
 		changes := 0
-		q.OnChange(func(Part, bool, int) { changes++ })
+		q.OnChange(func(PartChange) { changes++ })
 		for n := range 10 {
 			q.RecordCrash(parts("rare"), CrashKey(fmt.Sprint("e", n), 1))
 			time.Sleep(crashMemory * 2 / 3)
@@ -221,10 +221,10 @@
 			q.Blocked(nil)
 		}
 		time.Sleep(firstProbeDelay - minCrashSpan)
-		if retryAfter, ok := q.Admit(parts("first", "second")); ok || retryAfter > minCrashSpan {
-			t.Fatalf("admitted %v, retry after %v", ok, retryAfter)
+		if a := q.Admit(parts("first", "second")); a.OK || a.RetryAfter > minCrashSpan {
+			t.Fatalf("admitted %v, retry after %v", a.OK, a.RetryAfter)
 		}
-		if _, ok := q.Admit(parts("first")); !ok {
+		if !q.Admit(parts("first")).OK {
 			t.Error("the probe of the first part was used up")
 		}
 	})
@@ -277,7 +277,7 @@
 				r.parts = parts("team0", "bad")
 			}
 			e := rng.IntN(engines)
-			if _, ok := f.vms[r.vm].Admit(r.parts); !ok || now.Before(down[e]) {
+			if !f.vms[r.vm].Admit(r.parts).OK || now.Before(down[e]) {
 				continue
 			}
 			if r.bad && !found.IsZero() && now.Sub(found) > contact {
--- a/internal/retry/part_report.go
+++ b/internal/retry/part_report.go
@@ -109,7 +109,7 @@
 	switch {
 	case !r.blocked:
 		r.blocked, r.probeAt, r.probeDelay = true, probeAt, 2*firstProbeDelay
-		q.onChange(b.Part, true, len(b.ExplainsCrash))
+		q.onChange(PartChange{Part: b.Part, Blocked: true, Crashes: len(b.ExplainsCrash), FromPeer: true})
 	case probeAt.Sub(r.probeAt) > firstProbeDelay/2: // a probe was sent; smaller differences are delays of messages
 		r.probeAt, r.probeDelay = probeAt, min(2*r.probeDelay, maxProbeDelay)
 	}
