httpresponse: a response with an invalid field is no answer

Cause: net/textproto accepts blanks in names, for compatibility, and nothing of ours checked names. Blanks passed at every reader: endpoints, engines, prefills, cached parts, store, duties, engine reports, other VMs, the product's own gateway. It works because a whole response is dropped, not a line.

--- a/internal/httpresponse/httpresponse.go
+++ b/internal/httpresponse/httpresponse.go
@@ -4,8 +4,11 @@
 
 import (
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrInvalid means that a response isn't one in the protocol.
@@ -26,6 +29,34 @@
 		return errors.Wrapf(ErrInvalid, "status %q", resp.Status)
 	case resp.ProtoMajor != 1 && resp.ProtoMajor != 2:
 		return errors.Wrapf(ErrInvalid, "protocol %q", resp.Proto)
+	case IsInterim(resp):
+		return checkInterim(resp.Header)
+	}
+	return checkFields(resp.Header)
+}
+
+// checkInterim checks the fields of an interim response, which has no body.
+func checkInterim(h http.Header) error {
+	for _, name := range [...]string{"Content-Length", "Transfer-Encoding"} {
+		if _, ok := h[name]; ok {
+			return errors.Wrapf(ErrInvalid, "interim response with the field %s", name)
+		}
+	}
+	return checkFields(h)
+}
+
+// checkFields checks the names and values of fields. net/http accepts blanks and control bytes in names. A field whose name has one is passed
+// on, or doesn't have the effect that its sender meant, such as "Content Length".
+func checkFields(h http.Header) error {
+	for name, values := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Wrapf(ErrInvalid, "field name %q", name)
+		}
+		for _, v := range values {
+			if !httpguts.ValidHeaderFieldValue(v) {
+				return errors.Wrapf(ErrInvalid, "value %q of the field %s", v, name)
+			}
+		}
 	}
 	return nil
 }
@@ -43,7 +74,8 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, err := t.Base.RoundTrip(r)
+	trace := &httptrace.ClientTrace{Got1xxResponse: func(_ int, h textproto.MIMEHeader) error { return checkInterim(http.Header(h)) }}
+	resp, err := t.Base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
