retry: a sound prompt part isn't blocked in place of the harmful one

Cause: parts that were at the same crashes were told apart by their depth in the prompt, and once one was blocked, no request could prove it sound: those without the other part were refused as well. Evidence: the log field rivals names the harmful part with the same crashes at the VM that decided; the reports were complete, and the state changed once. Change: of such parts, one without an earlier answer is blocked first, and VMs tell each other of these answers. The others are its rivals. A request that lacks a rival is let through as a trial; an answer frees the part and blocks the rival at once, two crashes rule the rival out. A part that explains two more crashes replaces the blocked one. Blocks are reported with the age of each crash. Why it works: the block holds only for requests that say nothing about which part it is.

--- a/internal/retry/part_quarantine.go
+++ b/internal/retry/part_quarantine.go
@@ -32,6 +32,14 @@
 	// crashes engines. The delay doubles with each probe up to maxProbeDelay.
 	firstProbeDelay = 15 * time.Second
 	maxProbeDelay   = 4 * time.Minute
+	// trialInterval is the least time between two requests that a VM lets through although a part is blocked, because they lack another
+	// part that may be the cause. It is longer than a crash takes to be reported to the other VMs.
+	trialInterval = 500 * time.Millisecond
+	// loneCrashesToReplace is the number of crashes without a blocked part after which another part, which was at all crashes of the
+	// blocked one, is the better explanation. A part that wasn't at as many crashes of the blocked one is no rival of it.
+	loneCrashesToReplace = 2
+	// answerMemory is how long an answer before the first crash vouches for the parts of its prompt.
+	answerMemory = 10 * time.Minute
 	// blockMemory is how long after the last crash a part stays blocked if no request with it arrives to probe it.
 	blockMemory = 15 * time.Minute
 	// reviewInterval is the least time between two reviews of all records, which each request would make otherwise.
@@ -50,14 +58,22 @@
 //
 // A crash counts against all shared parts of the requests that waited for an answer at the engine. A complete answer proves the parts
 // of its prompt sound and clears what counted against them. A part that is blocked explains its crashes, which then no longer count
-// against the other parts. VMs exchange crashes, proofs and blocked parts. It is safe for concurrent use.
+// against the other parts, until it is proven sound.
+//
+// Parts that were at the same crashes can't be told apart by them. Of these, one that no earlier answer vouches for is blocked first. The
+// others are its rivals: a request that lacks a rival is let through as a trial. If it is answered, the blocked part is sound and a rival
+// the cause; if it crashes an engine, the rival is ruled out.
+//
+// VMs exchange crashes, proofs and blocked parts. It is safe for concurrent use.
 type PartQuarantine struct {
 	now func() time.Time
 
 	mu      sync.Mutex
 	records map[Part]*partRecord
-	// explained holds the crashes that a blocked part explains, with the time of the crash.
-	explained  map[uint64]time.Time
+	// explained holds the crashes that a blocked part explains.
+	explained map[uint64]explanation
+	// answered holds when this VM last relayed a complete answer to a request with a part.
+	answered   *answerTimes
 	reviewedAt time.Time
 	ownsProbe  func(Part) bool
 	onChange   func(PartChange)
@@ -88,9 +104,18 @@
 	e.Array("rivals", ids)
 }
 
+// explanation is a blocked part that explains a crash, and the time of the crash.
+type explanation struct {
+	by Part
+	at time.Time
+}
+
 // partRecord holds what is known of one prompt part.
 type partRecord struct {
-	crashes []partCrash
+	// crashes holds the crashes at which the part was since it was last proven sound. Of these, unexplained count against it: those that
+	// no other blocked part explains.
+	crashes     []partCrash
+	unexplained int
 	// depth is the part's position in the prompt, from 0.
 	depth int
 	// candidateSince is when the part had enough crashes to be blocked; zero if it has fewer.
@@ -99,10 +124,17 @@
 	// provenAt is when an answer last proved the part sound; ownProof is true if this VM relayed it.
 	provenAt time.Time
 	ownProof bool
-	blocked  bool
+	// vouchedAt is the time of the last answer with the part before its crashes; ownVouch is true if this VM relayed it.
+	vouchedAt time.Time
+	ownVouch  bool
+	blocked   bool
 	// probeAt is the time from which the VM that owns the part's probe lets a request through.
 	probeAt    time.Time
 	probeDelay time.Duration
+	// rivals holds the rivals of a blocked part as of the last review; trialAt is the time from which this VM lets a request through that
+	// lacks one of them.
+	rivals  []Part
+	trialAt time.Time
 }
 
 // partCrash is a crash that counts against a part. own is true if a request of this VM was at the engine.
@@ -114,7 +146,7 @@
 
 // NewPartQuarantine returns an empty quarantine that reads the time from now.
 func NewPartQuarantine(now func() time.Time) *PartQuarantine {
-	return &PartQuarantine{now: now, records: make(map[Part]*partRecord), explained: make(map[uint64]time.Time),
+	return &PartQuarantine{now: now, records: make(map[Part]*partRecord), explained: make(map[uint64]explanation), answered: newAnswerTimes(maxPartRecords),
 		ownsProbe: func(Part) bool { return true }, onChange: func(PartChange) {}}
 }
 
@@ -152,14 +184,15 @@
 // Admission says whether a request may be sent to an engine.
 type Admission struct {
 	OK bool
-	// Probe is true for a request with a blocked part that is let through to find out whether the part still crashes engines.
+	// Probe is true for a request with a blocked part that is let through to find out whether the part crashes engines. It must not be
+	// sent again once an engine may have run it.
 	Probe bool
 	// RetryAfter is the time after which the caller of a refused request may try again.
 	RetryAfter time.Duration
 }
 
-// Admit decides whether a request with these shared parts may be sent to an engine. When a blocked part is due for a probe, it admits one
-// request as the probe.
+// Admit decides whether a request with these shared parts may be sent to an engine. It admits a request with a blocked part as a probe if
+// the part is due for one, or as a trial if it lacks a rival of the part.
 func (q *PartQuarantine) Admit(parts []Part) Admission {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -167,7 +200,13 @@
 	q.review(now)
 	var retryAfter time.Duration
 	for _, part := range parts {
-		if r := q.blockedRecord(part); r != nil && (now.Before(r.probeAt) || !q.ownsProbe(part)) {
+		r := q.blockedRecord(part)
+		if r == nil {
+			continue
+		}
+		if r.isTrial(parts) {
+			retryAfter = max(retryAfter, r.trialAt.Sub(now))
+		} else if now.Before(r.probeAt) || !q.ownsProbe(part) {
 			retryAfter = max(retryAfter, r.untilProbe(now))
 		}
 	}
@@ -176,9 +215,15 @@
 	}
 	probe := false
 	for _, part := range parts {
-		if r := q.blockedRecord(part); r != nil {
+		r := q.blockedRecord(part)
+		if r == nil {
+			continue
+		}
+		probe = true
+		if r.isTrial(parts) {
+			r.trialAt = now.Add(trialInterval)
+		} else {
 			q.scheduleProbe(r, now)
-			probe = true
 		}
 	}
 	return Admission{OK: true, Probe: probe}
@@ -192,6 +237,11 @@
 	return firstProbeDelay
 }
 
+// isTrial reports whether a request with these parts lacks a rival of the blocked part.
+func (r *partRecord) isTrial(parts []Part) bool {
+	return slices.ContainsFunc(r.rivals, func(rival Part) bool { return !slices.Contains(parts, rival) })
+}
+
 // Blocked reports whether one of the parts is blocked. Unlike Admit, it admits no probe.
 func (q *PartQuarantine) Blocked(parts []Part) bool {
 	_, blocked := q.BlockedFor(parts)
@@ -205,8 +255,15 @@
 	now := q.now()
 	q.review(now)
 	for _, part := range parts {
-		if r := q.blockedRecord(part); r != nil {
-			retryAfter, blocked = max(retryAfter, r.untilProbe(now)), true
+		r := q.blockedRecord(part)
+		if r == nil {
+			continue
+		}
+		blocked = true
+		if r.isTrial(parts) {
+			retryAfter = max(retryAfter, r.trialAt.Sub(now), trialInterval)
+		} else {
+			retryAfter = max(retryAfter, r.untilProbe(now))
 		}
 	}
 	return retryAfter, blocked
@@ -228,37 +285,31 @@
 func (q *PartQuarantine) RecordAnswer(parts []Part) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	now := q.now()
 	for _, part := range parts {
+		q.answered.set(part, now)
 		if r := q.records[part]; r != nil {
-			q.prove(part, r, q.now(), true)
+			q.prove(part, r, now, true)
 		}
 	}
 }
 
-// addCrash counts a crash against a part, unless the part was proven sound after it, or a blocked part explains it.
+// addCrash records a crash of a part, unless the part was proven sound after it. The crash counts against the part unless a blocked part
+// explains it. A crash of a blocked part is explained by it.
 func (q *PartQuarantine) addCrash(part Part, depth int, c partCrash) {
 	r := q.records[part]
 	if r != nil && !r.provenAt.IsZero() && !c.at.After(r.provenAt) {
 		return
 	}
-	if r != nil && r.blocked {
-		r.lastCrash = later(r.lastCrash, c.at)
-		q.explain(c.id, c.at)
-		return
-	}
-	if at, ok := q.explained[c.id]; ok && c.at.Sub(at).Abs() < sameCrashWindow {
-		return
-	}
 	if r == nil {
 		if !q.makeRoom() {
 			return
 		}
-		r = &partRecord{}
-		q.records[part] = r
+		r = q.newRecord(part)
 	}
 	r.depth = depth
 	for i := range r.crashes {
-		if known := &r.crashes[i]; known.id == c.id && c.at.Sub(known.at).Abs() < sameCrashWindow {
+		if known := &r.crashes[i]; known.isSame(c.id, c.at) {
 			known.own = known.own || c.own
 			return
 		}
@@ -269,40 +320,94 @@
 	}
 	r.crashes = append(r.crashes, c)
 	r.lastCrash = later(r.lastCrash, c.at)
-	r.updateCandidate(q.now())
+	if r.blocked {
+		q.explain(c.id, c.at, part)
+	} else {
+		q.updateCandidate(part, r, q.now())
+	}
 }
 
-// updateCandidate sets or clears candidateSince after a change of the crashes.
-func (r *partRecord) updateCandidate(now time.Time) {
+// updateCandidate sets unexplained, and sets or clears candidateSince, after a change of the crashes or of what explains them. since is the
+// time from which the part is a candidate if it wasn't one.
+func (q *PartQuarantine) updateCandidate(part Part, r *partRecord, since time.Time) {
 	first, last := r.lastCrash, time.Time{}
+	r.unexplained = 0
 	for _, c := range r.crashes {
+		if q.isExplained(part, c) || q.now().Sub(c.at) > crashMemory {
+			continue
+		}
+		r.unexplained++
 		if c.at.Before(first) {
 			first = c.at
 		}
 		last = later(last, c.at)
 	}
-	switch enough := len(r.crashes) >= crashesToBlock && last.Sub(first) >= minCrashSpan; {
+	switch enough := r.unexplained >= crashesToBlock && last.Sub(first) >= minCrashSpan; {
 	case !enough:
 		r.candidateSince = time.Time{}
 	case r.candidateSince.IsZero():
-		r.candidateSince = now
+		r.candidateSince = since
+	}
+}
+
+// isExplained reports whether another part, which is blocked, explains a crash.
+func (q *PartQuarantine) isExplained(part Part, c partCrash) bool {
+	e, ok := q.explained[c.id]
+	return ok && e.by != part && c.isSame(c.id, e.at)
+}
+
+// newRecord adds a record of a part that has none.
+func (q *PartQuarantine) newRecord(part Part) *partRecord {
+	r := &partRecord{}
+	if at, ok := q.answered.get(part); ok && q.now().Sub(at) < answerMemory {
+		r.vouchedAt, r.ownVouch = at, true
 	}
+	q.records[part] = r
+	return r
 }
 
-// prove clears a part. It ignores proofs that are older than the part's last crash.
+// prove clears a part. An answer that is older than the part's last crash only vouches for it.
 func (q *PartQuarantine) prove(part Part, r *partRecord, at time.Time, own bool) {
-	if at.Before(r.lastCrash) || !at.After(r.provenAt) {
+	if at.Before(r.lastCrash) {
+		r.vouchedAt = later(r.vouchedAt, at)
+		return
+	}
+	if !at.After(r.provenAt) {
 		return
 	}
 	crashes := len(r.crashes)
 	wasBlocked := r.blocked
-	*r = partRecord{depth: r.depth, lastCrash: r.lastCrash, provenAt: at, ownProof: own}
+	*r = partRecord{depth: r.depth, lastCrash: r.lastCrash, provenAt: at, ownProof: own, vouchedAt: at, ownVouch: own}
 	if wasBlocked {
 		q.onChange(PartChange{Part: part, Crashes: crashes, FromPeer: !own})
+		q.withdrawExplanations(part)
+	}
+}
+
+// release ends the block of a part that isn't proven sound.
+func (q *PartQuarantine) release(part Part, r *partRecord) {
+	r.blocked, r.candidateSince, r.rivals = false, time.Time{}, nil
+	q.onChange(PartChange{Part: part, Crashes: len(r.crashes)})
+	q.withdrawExplanations(part)
+}
+
+// withdrawExplanations makes the crashes that a part explained, which is no longer blocked, count against the other parts again. Those that
+// become candidates by this have had their settle time.
+func (q *PartQuarantine) withdrawExplanations(by Part) {
+	for id, e := range q.explained {
+		if e.by == by {
+			delete(q.explained, id)
+		}
+	}
+	for part, r := range q.records {
+		if !r.blocked {
+			q.updateCandidate(part, r, r.lastCrash)
+		}
 	}
 }
 
-// review deletes expired records, and blocks the likeliest cause of crashes once its settle time has passed.
+// review deletes expired records, releases blocked parts for which there is a better explanation by now, and blocks the likeliest cause of
+// crashes once its settle time has passed.
 func (q *PartQuarantine) review(now time.Time) {
 	if now.Sub(q.reviewedAt) < reviewInterval {
 		return
@@ -317,11 +422,20 @@
 			q.onChange(PartChange{Part: part, Crashes: len(r.crashes)})
 		}
 	}
-	for id, at := range q.explained {
-		if now.Sub(at) > crashMemory {
+	for id, e := range q.explained {
+		if now.Sub(e.at) > crashMemory {
 			delete(q.explained, id)
 		}
 	}
+	for part, r := range q.records {
+		switch {
+		case !r.blocked:
+		case q.hasBetterExplanation(part, r):
+			q.release(part, r)
+		default:
+			r.rivals = q.findRivals(part, r)
+		}
+	}
 	for {
 		part, r := q.likeliestCause(now)
 		if r == nil {
@@ -331,22 +445,66 @@
 	}
 }
 
+// isVouched reports whether an answer before its crashes vouches for the part.
+func (r *partRecord) isVouched() bool { return !r.vouchedAt.IsZero() }
+
+// hasBetterExplanation reports whether another part was at all crashes of a part, and at loneCrashesToReplace or more without it. One that
+// an earlier answer vouches for is no better explanation of the crashes of a part without such an answer.
+func (q *PartQuarantine) hasBetterExplanation(part Part, r *partRecord) bool {
+	if len(r.crashes) == 0 {
+		return false
+	}
+	for other, o := range q.records {
+		if other == part || o.isVouched() && !r.isVouched() || len(o.crashes) < len(r.crashes)+loneCrashesToReplace ||
+			r.sharedCrashes(o) < len(r.crashes) {
+			continue
+		}
+		lone := 0
+		for _, c := range o.crashes {
+			e, explained := q.explained[c.id]
+			if !r.has(c) && (!explained || e.by == other) {
+				lone++
+			}
+		}
+		if lone >= loneCrashesToReplace {
+			return true
+		}
+	}
+	return false
+}
+
+// has reports whether a crash is among those of the part.
+func (r *partRecord) has(c partCrash) bool {
+	return slices.ContainsFunc(r.crashes, func(known partCrash) bool { return known.isSame(c.id, c.at) })
+}
+
+// sharedCrashes returns the number of the part's crashes that are also those of another one.
+func (r *partRecord) sharedCrashes(other *partRecord) int {
+	shared := 0
+	for _, c := range r.crashes {
+		if other.has(c) {
+			shared++
+		}
+	}
+	return shared
+}
+
 // likeliestCause returns the candidate to block next, or nil if there is none: of those that explain nearly as many crashes as any other,
-// the deepest in the prompt, and of these the one with the most crashes. While its settle time lasts, no other candidate is blocked, since
-// it may explain their crashes.
+// one that no earlier answer vouches for, of these the deepest in the prompt, and of these the one with the most crashes, unless there is a
+// better explanation. While its settle time lasts, no other candidate is blocked, since it may explain their crashes.
 func (q *PartQuarantine) likeliestCause(now time.Time) (Part, *partRecord) {
 	most := 0
 	for _, r := range q.records {
 		if r.isCandidate() {
-			most = max(most, len(r.crashes))
+			most = max(most, r.unexplained)
 		}
 	}
 	part, best := Part{}, (*partRecord)(nil)
 	for key, r := range q.records {
-		if !r.isCandidate() || float64(len(r.crashes)) < specificShare*float64(most) {
+		if !r.isCandidate() || float64(r.unexplained) < specificShare*float64(most) || q.hasBetterExplanation(key, r) {
 			continue
 		}
-		if best == nil || cmp.Or(cmp.Compare(r.depth, best.depth), cmp.Compare(len(r.crashes), len(best.crashes)), cmp.Compare(part.ID, key.ID), cmp.Compare(part.Service, key.Service)) > 0 {
+		if best == nil || cmp.Or(compareBool(best.isVouched(), r.isVouched()), cmp.Compare(r.depth, best.depth), cmp.Compare(r.unexplained, best.unexplained), cmp.Compare(part.ID, key.ID), cmp.Compare(part.Service, key.Service)) > 0 {
 			part, best = key, r
 		}
 	}
@@ -356,6 +514,17 @@
 	return part, best
 }
 
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
 // isCandidate reports whether the part has enough crashes to be blocked.
 func (r *partRecord) isCandidate() bool { return !r.blocked && !r.candidateSince.IsZero() }
 
@@ -367,31 +536,26 @@
 	return now.Sub(later(r.lastCrash, r.provenAt)) > crashMemory
 }
 
-// block blocks a part and removes the crashes that it explains from the other parts.
+// block blocks a part, which then explains its crashes.
 func (q *PartQuarantine) block(part Part, r *partRecord, now time.Time) {
 	r.blocked, r.probeDelay = true, firstProbeDelay
 	q.scheduleProbe(r, now)
-	rivals := q.rivals(part, r)
+	r.rivals = q.findRivals(part, r)
 	for _, c := range r.crashes {
-		q.explain(c.id, c.at)
+		q.explain(c.id, c.at, part)
 	}
-	q.onChange(PartChange{Part: part, Blocked: true, Crashes: len(r.crashes), Rivals: rivals})
+	q.onChange(PartChange{Part: part, Blocked: true, Crashes: len(r.crashes), Rivals: r.rivals})
 }
 
-// rivals returns the other parts that at least specificShare of a part's crashes count against too, ordered by ID.
-func (q *PartQuarantine) rivals(part Part, r *partRecord) []Part {
+// findRivals returns the other parts that may be the cause of a blocked part's crashes, ordered by ID: those that were at all of these or all
+// but loneCrashesToReplace, unless an earlier answer vouches for them and none for the blocked part.
+func (q *PartQuarantine) findRivals(part Part, r *partRecord) []Part {
 	var list []Part
 	for other, o := range q.records {
-		if other == part || o.blocked {
+		if other == part || o.blocked || o.isVouched() && !r.isVouched() {
 			continue
 		}
-		shared := 0
-		for _, c := range r.crashes {
-			if slices.ContainsFunc(o.crashes, func(known partCrash) bool { return known.isSame(c.id, c.at) }) {
-				shared++
-			}
-		}
-		if shared > 0 && float64(shared) >= specificShare*float64(len(r.crashes)) {
+		if shared := r.sharedCrashes(o); shared > 0 && shared > len(r.crashes)-loneCrashesToReplace {
 			list = append(list, other)
 		}
 	}
@@ -410,17 +574,12 @@
 	r.probeDelay = min(2*r.probeDelay, maxProbeDelay)
 }
 
-// explain records that a blocked part explains a crash, which then no longer counts against parts that are not blocked.
-func (q *PartQuarantine) explain(crash uint64, at time.Time) {
-	q.explained[crash] = at
-	for _, r := range q.records {
-		if r.blocked {
-			continue
-		}
-		before := len(r.crashes)
-		r.crashes = slices.DeleteFunc(r.crashes, func(c partCrash) bool { return c.id == crash && c.at.Sub(at).Abs() < sameCrashWindow })
-		if len(r.crashes) != before {
-			r.updateCandidate(q.now())
+// explain records that a blocked part explains a crash, which then no longer counts against the other parts.
+func (q *PartQuarantine) explain(crash uint64, at time.Time, by Part) {
+	q.explained[crash] = explanation{by, at}
+	for part, r := range q.records {
+		if !r.blocked && r.has(partCrash{id: crash, at: at}) {
+			q.updateCandidate(part, r, q.now())
 		}
 	}
 }
--- a/internal/retry/part_report.go
+++ b/internal/retry/part_report.go
@@ -20,18 +20,24 @@
 	Age   time.Duration
 }
 
-// ReportedProof is an answer that proved a part sound.
+// ReportedProof is an answer that proved a part sound, or that vouches for it because it came before the part's crashes.
 type ReportedProof struct {
 	Part Part
 	Age  time.Duration
 }
 
-// ReportedBlock is a blocked part, with the age of its last crash and the time until its next probe.
+// ReportedBlock is a blocked part, with the age of its last crash, the time until its next probe, and the crashes that it explains.
 type ReportedBlock struct {
-	Part          Part
-	LastCrashAge  time.Duration
-	UntilProbe    time.Duration
-	ExplainsCrash []uint64
+	Part         Part
+	LastCrashAge time.Duration
+	UntilProbe   time.Duration
+	Explains     []ExplainedCrash
+}
+
+// ExplainedCrash is a crash that a blocked part explains.
+type ExplainedCrash struct {
+	Crash uint64
+	Age   time.Duration
 }
 
 // Report returns this VM's crashes and proofs of the last reportTime, and all blocked parts. Each list holds at most maxReported
@@ -43,13 +49,16 @@
 	q.review(now)
 	var report PartReport
 	for part, r := range q.records {
-		if r.ownProof && now.Sub(r.provenAt) < reportTime {
+		switch {
+		case r.ownProof && now.Sub(r.provenAt) < reportTime:
 			report.Proofs = append(report.Proofs, ReportedProof{Part: part, Age: now.Sub(r.provenAt)})
+		case r.ownVouch && now.Sub(r.lastCrash) < reportTime:
+			report.Proofs = append(report.Proofs, ReportedProof{Part: part, Age: now.Sub(r.vouchedAt)})
 		}
 		if r.blocked {
 			b := ReportedBlock{Part: part, LastCrashAge: now.Sub(r.lastCrash), UntilProbe: max(r.probeAt.Sub(now), 0)}
 			for _, c := range r.crashes {
-				b.ExplainsCrash = append(b.ExplainsCrash, c.id)
+				b.Explains = append(b.Explains, ExplainedCrash{c.id, now.Sub(c.at)})
 			}
 			report.Blocks = append(report.Blocks, b)
 		}
@@ -90,7 +99,7 @@
 	q.review(now)
 }
 
-// mergeBlock adopts another VM's block, unless the part was proven sound after its last crash.
+// mergeBlock adopts another VM's block, unless the part was proven sound after its last crash, or another part explains its crashes better.
 func (q *PartQuarantine) mergeBlock(b ReportedBlock, now time.Time) {
 	lastCrash := now.Add(-b.LastCrashAge)
 	r := q.records[b.Part]
@@ -101,21 +110,27 @@
 		if !q.makeRoom() {
 			return
 		}
-		r = &partRecord{}
-		q.records[b.Part] = r
+		r = q.newRecord(b.Part)
+	}
+	for _, c := range b.Explains {
+		q.addCrash(b.Part, r.depth, partCrash{id: c.Crash, at: now.Add(-c.Age)})
 	}
 	r.lastCrash = later(r.lastCrash, lastCrash)
+	if q.hasBetterExplanation(b.Part, r) {
+		return
+	}
 	probeAt := now.Add(b.UntilProbe)
 	switch {
 	case !r.blocked:
 		r.blocked, r.probeAt, r.probeDelay = true, probeAt, 2*firstProbeDelay
-		q.onChange(PartChange{Part: b.Part, Blocked: true, Crashes: len(b.ExplainsCrash), FromPeer: true})
+		r.rivals = q.findRivals(b.Part, r)
+		q.onChange(PartChange{Part: b.Part, Blocked: true, Crashes: len(r.crashes), Rivals: r.rivals, FromPeer: true})
 	case probeAt.Sub(r.probeAt) > firstProbeDelay/2: // a probe was sent; smaller differences are delays of messages
 		r.probeAt, r.probeDelay = probeAt, min(2*r.probeDelay, maxProbeDelay)
 	}
-	for _, crash := range b.ExplainsCrash {
-		if _, ok := q.explained[crash]; !ok {
-			q.explain(crash, lastCrash)
+	for _, c := range r.crashes {
+		if _, ok := q.explained[c.id]; !ok {
+			q.explain(c.id, c.at, b.Part)
 		}
 	}
 }
--- a/internal/vmlink/message.go
+++ b/internal/vmlink/message.go
@@ -162,9 +162,11 @@
 // PartBlock is a blocked prompt part, with the time since its last crash and until its next probe.
 type PartBlock struct {
 	SharedPart
-	LastCrashAgeMS int64    `cbor:"2,keyasint,omitempty"`
-	UntilProbeMS   int64    `cbor:"3,keyasint,omitempty"`
-	Crashes        []uint64 `cbor:"4,keyasint,omitempty"`
+	LastCrashAgeMS int64 `cbor:"2,keyasint,omitempty"`
+	UntilProbeMS   int64 `cbor:"3,keyasint,omitempty"`
+	// Crashes holds the crashes that the part explains, CrashAgesMS the milliseconds since each of them.
+	Crashes     []uint64 `cbor:"4,keyasint,omitempty"`
+	CrashAgesMS []int64  `cbor:"5,keyasint,omitempty"`
 }
 
 // encodeParts adds a report about prompt parts to the message.
@@ -176,8 +178,12 @@
 		m.PartProofs = append(m.PartProofs, PartProof{SharedPart: SharedPart(p.Part), AgeMS: p.Age.Milliseconds()})
 	}
 	for _, b := range r.Blocks {
-		m.PartBlocks = append(m.PartBlocks, PartBlock{SharedPart: SharedPart(b.Part), LastCrashAgeMS: b.LastCrashAge.Milliseconds(),
-			UntilProbeMS: b.UntilProbe.Milliseconds(), Crashes: b.ExplainsCrash})
+		block := PartBlock{SharedPart: SharedPart(b.Part), LastCrashAgeMS: b.LastCrashAge.Milliseconds(), UntilProbeMS: b.UntilProbe.Milliseconds()}
+		for _, c := range b.Explains {
+			block.Crashes = append(block.Crashes, c.Crash)
+			block.CrashAgesMS = append(block.CrashAgesMS, c.Age.Milliseconds())
+		}
+		m.PartBlocks = append(m.PartBlocks, block)
 	}
 }
 
@@ -191,8 +197,15 @@
 		r.Proofs = append(r.Proofs, retry.ReportedProof{Part: retry.Part(p.SharedPart), Age: age(p.AgeMS)})
 	}
 	for _, b := range m.PartBlocks {
-		r.Blocks = append(r.Blocks, retry.ReportedBlock{Part: retry.Part(b.SharedPart), LastCrashAge: age(b.LastCrashAgeMS), UntilProbe: age(b.UntilProbeMS),
-			ExplainsCrash: b.Crashes})
+		block := retry.ReportedBlock{Part: retry.Part(b.SharedPart), LastCrashAge: age(b.LastCrashAgeMS), UntilProbe: age(b.UntilProbeMS)}
+		for i, crash := range b.Crashes {
+			at := block.LastCrashAge // a VM of an earlier version sends no ages
+			if i < len(b.CrashAgesMS) {
+				at = age(b.CrashAgesMS[i])
+			}
+			block.Explains = append(block.Explains, retry.ExplainedCrash{Crash: crash, Age: at})
+		}
+		r.Blocks = append(r.Blocks, block)
 	}
 	return r
 }
--- a/internal/vmlink/parts_test.go
+++ b/internal/vmlink/parts_test.go
@@ -16,7 +16,7 @@
 	want := retry.PartReport{
 		Crashes: []retry.ReportedCrash{{Part: part, Crash: 1 << 63, Depth: 2, Age: 1500 * time.Millisecond}},
 		Proofs:  []retry.ReportedProof{{Part: part, Age: 20 * time.Millisecond}},
-		Blocks:  []retry.ReportedBlock{{Part: part, LastCrashAge: time.Second, UntilProbe: 14 * time.Second, ExplainsCrash: []uint64{7, 8}}},
+		Blocks:  []retry.ReportedBlock{{Part: part, LastCrashAge: time.Second, UntilProbe: 14 * time.Second, Explains: []retry.ExplainedCrash{{Crash: 7, Age: 3 * time.Second}, {Crash: 8, Age: time.Second}}}},
 	}
 	var sent, received StatusMessage
 	sent.encodeParts(want)
