node: a VM reads the endpoints from VMs that can read them

Cause: a VM that doesn't read the store itself, or is turned away, chose the VM to read from by the age of its configuration. That spreads in datagrams and is recent everywhere, while the list of endpoints of the chosen VM may come from a third one. The same VM was chosen after each failure, and a list older than the reader's own was accepted. Change: status messages say how old each copy is and whether its VM reads the store; VMs that do are preferred, one that failed is left out for 3 s, older lists are refused, and changes from another source continue at the revision reached. It works because the age that decides is the one that matters, and is the sum over all VMs on the way.

--- a/internal/discovery/watch_cache.go
+++ b/internal/discovery/watch_cache.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"crocusglade.example/crocusglade/internal/apitypes"
 	"crocusglade.example/crocusglade/internal/bootclock"
 	"crocusglade.example/crocusglade/internal/objectstore"
@@ -43,6 +45,9 @@
 	changed chan struct{}
 }
 
+// errBehind means that a watcher on another VM has read more of the store than this VM.
+var errBehind = errors.Wrap(objectstore.ErrUnavailable, "this VM is behind the watcher")
+
 // NewWatchCache returns an empty cache. It serves nothing before ReplaceObjects.
 func NewWatchCache() *WatchCache { return &WatchCache{changed: make(chan struct{})} }
 
@@ -102,6 +107,20 @@
 	return s, nil
 }
 
+// Revision returns the revision of the store up to which the cache has all changes, 0 before the first list.
+func (c *WatchCache) Revision() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.revision
+}
+
+// Age returns how long ago the store was known to hold nothing newer than the cache, and false before the first list.
+func (c *WatchCache) Age() (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return bootclock.Since(c.asOf), c.synced
+}
+
 // ageLocked returns the age of the cache in milliseconds, rounded up.
 func (c *WatchCache) ageLocked() (int64, error) {
 	age := bootclock.Since(c.asOf)
@@ -112,7 +131,8 @@
 }
 
 // WaitForChanges returns the events after a revision. It waits for the first one at most for the given time and then returns none.
-// It returns objectstore.ErrCompacted when the revision isn't covered, and objectstore.ErrUnavailable like Snapshot.
+// It returns objectstore.ErrCompacted when the changes since the revision aren't covered, and objectstore.ErrUnavailable like Snapshot, or when
+// the cache doesn't reach the revision in that time.
 func (c *WatchCache) WaitForChanges(ctx context.Context, after uint64, wait time.Duration) (*Snapshot, error) {
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
@@ -121,7 +141,8 @@
 		changed := c.changed
 		s, err := c.eventsAfterLocked(after)
 		c.mu.Unlock()
-		if err != nil || len(s.Events) > 0 {
+		behind := errors.Is(err, errBehind)
+		if err != nil && !behind || err == nil && len(s.Events) > 0 {
 			return s, err
 		}
 		select {
@@ -137,13 +158,16 @@
 }
 
 func (c *WatchCache) eventsAfterLocked(after uint64) (*Snapshot, error) {
-	if after < c.compactedRevision || after > c.revision {
+	if after < c.compactedRevision {
 		return nil, objectstore.ErrCompacted
 	}
 	age, err := c.ageLocked()
 	if err != nil {
 		return nil, err
 	}
+	if after > c.revision {
+		return nil, errBehind
+	}
 	s := &Snapshot{Revision: c.revision, AgeMS: age}
 	for _, ev := range c.events {
 		if ev.Revision > after {
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -71,8 +71,8 @@
 
 // Watcher follows the objects of one kind: it lists them and then polls for changes.
 type Watcher struct {
-	// Source returns the source to read from. It is called before each list and each poll; when its result changes, the watcher lists
-	// again from the new source.
+	// Source returns the source to read from. It is called before each list and each poll. Revisions are those of the store, so that a poll
+	// of another source continues after the last one.
 	Source func() Source
 	// Kind is the kind of the objects.
 	Kind string
@@ -101,8 +101,8 @@
 	return nil
 }
 
-// listAndPoll lists and then polls until a call fails, which it returns, or until the source changes or the history was compacted,
-// which both need a new list at once.
+// listAndPoll lists and then polls until a call fails, which it returns, or until the source doesn't have the changes after the last poll,
+// which needs a new list at once.
 func (w *Watcher) listAndPoll(ctx context.Context) error {
 	source := w.Source()
 	listCtx, cancel := context.WithTimeout(ctx, listTimeout)
@@ -117,8 +117,8 @@
 	w.Log.Info().Str("kind", w.Kind).Str("source", fmt.Sprint(source)).Uint64("revision", revision).
 		Int64("age_ms", bootclock.Since(asOf).Milliseconds()).Msg("listed, watching for changes")
 	w.OnList(items, revision, asOf, w.markRegained(revision))
-	for ctx.Err() == nil && w.Source() == source {
-		revision, err = w.poll(ctx, source, revision)
+	for ctx.Err() == nil {
+		revision, err = w.poll(ctx, w.Source(), revision)
 		if errors.Is(err, objectstore.ErrCompacted) {
 			w.Log.Info().Str("kind", w.Kind).Uint64("revision", revision).Msg("store history compacted, listing again")
 			return nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -119,9 +119,9 @@
 	lastFencingToken uint64
 	// incompleteWindows counts the usage windows that were reported without the final counts of some VM.
 	incompleteWindows atomic.Int64
-	// relayFailedAt holds the bootclock.Instant of the last failed read from another VM, by kind. storeFailedAt holds the same for
-	// reads from the store.
-	relayFailedAt, storeFailedAt sync.Map
+	// relayFailedAt holds the bootclock.Instant of the last failed read from another VM, by kind and link address. storeFailedAt holds the
+	// same for reads from the store, by kind. watchesStore holds whether the last source of a kind was the store.
+	relayFailedAt, storeFailedAt, watchesStore sync.Map
 }
 
 // New returns a node. It starts nothing.
@@ -145,7 +145,7 @@
 	quarantine, parts := retry.NewQuarantine(quarantineDuration), retry.NewPartQuarantine(bootclock.NowAsTime)
 	n.link = vmlink.New(vmlink.Config{VM: s.VM, Incarnation: n.incarnation, Domain: s.FailureDomain, CallerAddress: s.CallerListenAddress,
 		LinkAddress: n.linkAddress(s.IP), Catalog: n.catalogHolder, Fleet: n.fleet, Meter: n.meter, Ledger: n.ledger, Quarantine: quarantine, Parts: parts,
-		MedianClock: n.medianClock, Quota: n.quotas, FetchCatalog: n.fetchCatalog, Log: n.log})
+		MedianClock: n.medianClock, Quota: n.quotas, Watches: n.watchStatus, FetchCatalog: n.fetchCatalog, Log: n.log})
 	n.retryBudget = retry.NewWindowBudget(s.RetryRatio*retryBudgetFraction, s.RetrySlack*retryBudgetFraction, s.RetryWindow)
 	n.bounds.Store(&ingress.Bounds{RevokeBound: s.RevokeBound, ApplyBound: s.ApplyBound})
 	if err := t.ObserveExchange(n.link.OmittedReads, n.incompleteWindows.Load); err != nil {
--- a/internal/node/watch_source.go
+++ b/internal/node/watch_source.go
@@ -1,11 +1,12 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/http"
 	"net/url"
-	"sort"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -16,25 +17,30 @@
 
 	"crocusglade.example/crocusglade/internal/apitypes"
 	"crocusglade.example/crocusglade/internal/bootclock"
+	"crocusglade.example/crocusglade/internal/ctxtime"
 	"crocusglade.example/crocusglade/internal/discovery"
 	"crocusglade.example/crocusglade/internal/httpresponse"
 	"crocusglade.example/crocusglade/internal/netdial"
 	"crocusglade.example/crocusglade/internal/objectstore"
+	"crocusglade.example/crocusglade/internal/vmlink"
 )
 
 const (
 	// storeWatchers is the number of VMs that watch the store directly. The others watch these VMs, so that the calls to the store
 	// don't grow with the number of VMs.
 	storeWatchers = 3
-	// maxWatcherAge is the age of the last confirmation of a VM's configuration up to which other VMs watch it.
+	// maxWatcherAge is the age of what a VM has read up to which other VMs watch it.
 	maxWatcherAge = 1800 * time.Millisecond
 	// relayPath is the path prefix at which a VM serves its watch caches to other VMs; the kind follows.
 	relayPath = "/follow/"
 	// maxRelayBytes bounds a response of another VM.
 	maxRelayBytes = 16 << 20
-	// relayFailureBackoff is how long a VM reads directly from the store after a failed read from another VM.
+	// relayFailureBackoff is how long a VM reads nothing from another one after a failed read from it.
 	relayFailureBackoff = 3 * time.Second
-	// storeFailureBackoff is how long a VM watches other VMs after a failed read from the store.
+	// maxBehindTries is how often a list is read from a VM that is behind this one, behindRetryDelay the time between two of these reads.
+	maxBehindTries   = 3
+	behindRetryDelay = 100 * time.Millisecond
+	// storeFailureBackoff is how long a VM watches other VMs after a failed read from the store, if one has a recent copy.
 	storeFailureBackoff = 5 * time.Second
 )
 
@@ -42,49 +48,86 @@
 // stopped one is replaced by a single VM.
 func watchRank(vm string) uint64 { return xxhash.Sum64String(vm) }
 
-// watchSource returns the source from which this VM reads a kind: the store if fewer than storeWatchers VMs of lower rank have a
-// recently confirmed configuration, and one of those VMs otherwise. After a failure of the store it is any VM with a recently
-// confirmed configuration.
+// watchSource returns the source from which this VM reads a kind.
 func (n *Node) watchSource(kind string) discovery.Source {
-	store := storeSource{node: n, kind: kind}
-	lowerRanked, confirmed := n.confirmedVMs()
-	storeFailed, relayFailed := lastFailure(&n.storeFailedAt, kind), lastFailure(&n.relayFailedAt, kind)
-	if bootclock.Since(storeFailed) < storeFailureBackoff && storeFailed > relayFailed && len(confirmed) > 0 {
-		return relaySource{node: n, link: confirmed[watchRank(n.VM)%uint64(len(confirmed))].link}
+	relay, ok := n.selectRelay(kind)
+	n.watchesStore.Store(kind, !ok)
+	if !ok {
+		return storeSource{node: n, kind: kind}
 	}
-	if len(lowerRanked) < storeWatchers || bootclock.Since(relayFailed) < relayFailureBackoff {
-		return store
+	return relaySource{node: n, link: relay.link}
+}
+
+// selectRelay returns the VM from which this VM reads a kind, and false if it reads from the store: if fewer than storeWatchers VMs of lower rank
+// do. After a failure of the store it reads from any VM that still can, or else from any that has a recent copy.
+func (n *Node) selectRelay(kind string) (vmAddress, bool) {
+	watchers, others := n.recentWatchers(kind)
+	if bootclock.Since(lastFailure(&n.storeFailedAt, kind)) < storeFailureBackoff {
+		if len(watchers) > 0 {
+			return n.preferred(watchers), true
+		}
+		return n.preferred(others), len(others) > 0
 	}
-	return relaySource{node: n, link: lowerRanked[watchRank(n.VM)%storeWatchers].link}
+	lowerRanked := slices.DeleteFunc(watchers, func(vm vmAddress) bool { return watchRank(vm.name) >= watchRank(n.VM) })
+	if len(lowerRanked) < storeWatchers {
+		return vmAddress{}, false
+	}
+	slices.SortFunc(lowerRanked, func(a, b vmAddress) int { return cmp.Compare(watchRank(a.name), watchRank(b.name)) })
+	return n.preferred(lowerRanked[:storeWatchers]), true
+}
+
+// preferred returns the VM of a list that this VM reads from. It stays the same while others come and go.
+func (n *Node) preferred(list []vmAddress) vmAddress {
+	if len(list) == 0 {
+		return vmAddress{}
+	}
+	return slices.MaxFunc(list, func(a, b vmAddress) int {
+		return cmp.Or(cmp.Compare(watchRank(n.VM+"\x00"+a.name), watchRank(n.VM+"\x00"+b.name)), cmp.Compare(a.name, b.name))
+	})
 }
 
 // neverFailed stands for the time of the last failure when there was none.
 const neverFailed = bootclock.Instant(-1 << 62)
 
-// lastFailure returns the time of the last failed read of a kind, or neverFailed.
-func lastFailure(failures *sync.Map, kind string) bootclock.Instant {
-	if failedAt, ok := failures.Load(kind); ok {
+// lastFailure returns the time of the last failed read with a key, or neverFailed.
+func lastFailure(failures *sync.Map, key any) bootclock.Instant {
+	if failedAt, ok := failures.Load(key); ok {
 		return failedAt.(bootclock.Instant)
 	}
 	return neverFailed
 }
 
-// confirmedVMs returns the other serving VMs with a recently confirmed configuration, ordered by rank: those that rank before this
-// VM, and all.
-func (n *Node) confirmedVMs() (lowerRanked, all []vmAddress) {
+// relayKey identifies the reads of a kind from the VM at a link address.
+type relayKey struct{ kind, link string }
+
+// recentWatchers returns the other serving VMs whose copy of a kind is recent and from which no read failed lately: those that read it from the
+// store, and those that read it from another VM.
+func (n *Node) recentWatchers(kind string) (watchers, others []vmAddress) {
 	for _, vm := range n.link.LivePeers() {
-		recent := vm.ConfirmedMS >= 0 && time.Duration(vm.ConfirmedMS)*time.Millisecond < maxWatcherAge
-		if vm.Serving && !vm.Draining && recent {
-			all = append(all, vmAddress{vm.Name, vm.LinkAddress})
+		status, known := vm.Watches[kind]
+		if !known || !vm.Serving || vm.Draining || time.Duration(status.AgeMS)*time.Millisecond > maxWatcherAge ||
+			bootclock.Since(lastFailure(&n.relayFailedAt, relayKey{kind, vm.LinkAddress})) < relayFailureBackoff {
+			continue
+		}
+		if address := (vmAddress{vm.Name, vm.LinkAddress}); status.FromStore {
+			watchers = append(watchers, address)
+		} else {
+			others = append(others, address)
 		}
 	}
-	sort.Slice(all, func(i, j int) bool { return watchRank(all[i].name) < watchRank(all[j].name) })
-	for _, vm := range all {
-		if watchRank(vm.name) < watchRank(n.VM) {
-			lowerRanked = append(lowerRanked, vm)
+	return watchers, others
+}
+
+// watchStatus returns how this VM follows the kinds that it has read.
+func (n *Node) watchStatus() map[string]vmlink.WatchStatus {
+	status := make(map[string]vmlink.WatchStatus, len(n.watchCaches))
+	for kind, cache := range n.watchCaches {
+		if age, ok := cache.Age(); ok {
+			fromStore, _ := n.watchesStore.Load(kind)
+			status[kind] = vmlink.WatchStatus{AgeMS: age.Milliseconds() + 1, FromStore: fromStore == true}
 		}
 	}
-	return lowerRanked, all
+	return status
 }
 
 // storeSource reads from the store and records failures.
@@ -135,13 +178,30 @@
 var relayClient = &http.Client{Transport: httpresponse.NewTransport(&http.Transport{DialContext: netdial.NewDialer(vmCallTimeout/2, vmCallTimeout).DialContext,
 	DisableCompression: true, MaxIdleConnsPerHost: 4, IdleConnTimeout: 10 * time.Second})}
 
-// List implements discovery.Source.
+// errBehind means that another VM has read less of the store than this one.
+var errBehind = errors.New("the copy of the other VM is older than this VM's; read from another one")
+
+// List implements discovery.Source. It waits for a VM that is behind this one for a moment, and fails then: with an older list, this VM would
+// send work to endpoints of which it knows that they left.
 func (r relaySource) List(ctx context.Context, kind string) ([]apitypes.Object, uint64, bootclock.Instant, error) {
-	s, asOf, err := r.read(ctx, kind, nil)
-	if err != nil {
-		return nil, 0, 0, err
+	own := r.node.watchCaches[kind].Revision()
+	for try := 1; ; try++ {
+		s, asOf, err := r.read(ctx, kind, nil)
+		switch {
+		case err != nil:
+			return nil, 0, 0, err
+		case s.Revision >= own:
+			return s.Items, s.Revision, asOf, nil
+		case try == maxBehindTries || !ctxtime.Sleep(ctx, behindRetryDelay):
+			r.recordFailure(kind)
+			return nil, 0, 0, errors.Wrapf(errBehind, "revision %d, this VM has %d", s.Revision, own)
+		}
 	}
-	return s.Items, s.Revision, asOf, nil
+}
+
+// recordFailure records the time of a failed read.
+func (r relaySource) recordFailure(kind string) {
+	r.node.relayFailedAt.Store(relayKey{kind, r.link}, bootclock.Now())
 }
 
 // Poll implements discovery.Source.
@@ -161,7 +221,7 @@
 	s, err := r.fetch(ctx, kind, query)
 	if err != nil {
 		if !errors.Is(err, objectstore.ErrCompacted) {
-			r.node.relayFailedAt.Store(kind, bootclock.Now())
+			r.recordFailure(kind)
 		}
 		return nil, 0, err
 	}
--- a/internal/vmlink/link.go
+++ b/internal/vmlink/link.go
@@ -57,6 +57,8 @@
 	Parts                      *retry.PartQuarantine
 	MedianClock                *MedianClock
 	Quota                      QuotaExchange
+	// Watches returns how this VM follows the kinds of objects of the store, without those that it has not read yet.
+	Watches func() map[string]WatchStatus
 	// FetchCatalog fetches and applies the configuration of the VM at a link address. It is called when that VM has a newer one.
 	FetchCatalog func(ctx context.Context, link string) error
 	Log          zerolog.Logger
@@ -89,6 +91,8 @@
 	Revision uint64
 	// DutyToken is the fencing token of the duties lease if the VM holds it, 0 otherwise.
 	DutyToken uint64
+	// Watches holds how the VM follows the kinds of objects of the store.
+	Watches map[string]WatchStatus
 }
 
 // Link exchanges status messages with all other VMs. Its methods may be called concurrently.
@@ -259,6 +263,7 @@
 	work, reads := l.Fleet.CollectWork()
 	parts := l.Parts.Report()
 	quotas := l.Quota.Report()
+	watches := l.Watches()
 	if len(reads) > maxMessageReads {
 		reads = reads[len(reads)-maxMessageReads:]
 	}
@@ -266,7 +271,7 @@
 	defer l.mu.Unlock()
 	msg := &StatusMessage{VM: l.VM, Incarnation: l.Incarnation, Domain: l.Domain, Front: l.CallerAddress, Link: l.LinkAddress,
 		Draining: l.draining, DutyToken: l.dutyToken, Work: encodeWork(work), Reads: EncodeReads(reads), Demand: l.Fleet.MeasureDemand(),
-		Unreachable: encodeUnreachable(l.Fleet.UnreachableEndpoints()), ConfirmedMS: -1}
+		Unreachable: encodeUnreachable(l.Fleet.UnreachableEndpoints()), ConfirmedMS: -1, Watches: watches}
 	msg.encodeParts(parts)
 	msg.Quotas = encodeQuotas(quotas)
 	for _, e := range l.Fleet.LeavingEndpoints() {
@@ -333,7 +338,7 @@
 	wasLive := p.live
 	p.receivedAt, p.lastSentAt, p.live = bootclock.Now(), msg.SentAt, true
 	p.status = PeerStatus{Name: msg.VM, Incarnation: msg.Incarnation, Domain: msg.Domain, CallerAddress: msg.Front, LinkAddress: msg.Link, Serving: msg.Serving,
-		Draining: msg.Draining, ConfirmedMS: msg.ConfirmedMS, Revision: msg.Revision, DutyToken: msg.DutyToken}
+		Draining: msg.Draining, ConfirmedMS: msg.ConfirmedMS, Revision: msg.Revision, DutyToken: msg.DutyToken, Watches: msg.Watches}
 	l.mu.Unlock()
 	if !wasLive {
 		l.Log.Info().Str("dependency", "vm").Str("peer", msg.VM).Str("incarnation", msg.Incarnation).Msg("dependency regained")
--- a/internal/vmlink/message.go
+++ b/internal/vmlink/message.go
@@ -51,6 +51,8 @@
 	PartBlocks  []PartBlock `cbor:"23,keyasint,omitempty"`
 	// Leaving holds the endpoints that told the sender that they leave, as long as the store lists them as ready.
 	Leaving []LeavingEndpoint `cbor:"24,keyasint,omitempty"`
+	// Watches holds how the sender follows the kinds of objects of the store, by kind.
+	Watches map[string]WatchStatus `cbor:"27,keyasint,omitempty"`
 	// Demand is the sender's demand for prompt processing by service, in tokens per second.
 	Demand map[string]float64 `cbor:"17,keyasint,omitempty"`
 	// Quotas reports the cost that the sender granted to teams with a quota; see quota.TeamReport.
@@ -63,6 +65,14 @@
 	StartedAtMS int64  `cbor:"2,keyasint"`
 }
 
+// WatchStatus says how a VM follows the objects of a kind.
+type WatchStatus struct {
+	// AgeMS is how many milliseconds ago the store was known to hold nothing newer than what the VM has read.
+	AgeMS int64 `cbor:"1,keyasint"`
+	// FromStore is true if the VM reads from the store, and false if it reads from another VM.
+	FromStore bool `cbor:"2,keyasint,omitempty"`
+}
+
 // EndpointWork is the unfinished work of a VM at one endpoint: the prompt tokens not yet processed and the requests running.
 type EndpointWork struct {
 	Unread  int `cbor:"1,keyasint,omitempty"`
--- a/internal/vmlink/vmlink_test.go
+++ b/internal/vmlink/vmlink_test.go
@@ -23,6 +23,7 @@
 	return New(Config{VM: "vm1", Incarnation: "inc1", LinkAddress: "127.0.0.8:1", Catalog: holder, Fleet: placement.New("z", placement.DefaultWeights),
 		Meter: metering.NewMeter(time.Second, clock.Now), Ledger: metering.NewLedger(), Quarantine: retry.NewQuarantine(time.Minute),
 		Parts:       retry.NewPartQuarantine(bootclock.NowAsTime),
+		Watches:     func() map[string]WatchStatus { return nil },
 		Quota:       quota.New(quota.Config{Now: func() time.Duration { return time.Duration(bootclock.Now()) }}),
 		MedianClock: clock, FetchCatalog: func(context.Context, string) error { return nil }, Log: zerolog.Nop()})
 }
