discovery: VMs tell each other of endpoints that left

Cause: whether a VM knows of a departure depended on one way: its own watch, of the store or of one other VM. While that way is silent, cut or slow, the VM learns nothing for the time it takes to notice, to choose another and to read a list. Change: status messages carry the departures that their sender has read in the last 3 s, with their revisions; an entry older than that gets no new work, also one in a later list from an old copy. It works because the first VM that knows tells all others within a datagram's period.

--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -33,6 +33,10 @@
 	asOf      atomic.Int64
 	mu        sync.Mutex
 	endpoints map[string]catalog.Endpoint
+	// versions holds the versions of the entries of endpoints.
+	versions map[string]uint64
+	// departures holds the endpoints that left in the last departureMemory.
+	departures map[string]departure
 	// expired holds endpoints whose entries were missing from the first list after an outage, until expiredUntil. A deletion event
 	// removes the endpoint at once.
 	expired      map[string]catalog.Endpoint
@@ -46,11 +50,11 @@
 func (r *Registry) UnusableEntries() int64 { return r.unusableCount.Load() }
 
 // ReplaceEntries replaces all entries with those of a list. outage is how long the store couldn't be read before, 0 if it could.
-func (r *Registry) ReplaceEntries(items []apitypes.Object, _ uint64, asOf bootclock.Instant, outage time.Duration) {
+func (r *Registry) ReplaceEntries(items []apitypes.Object, revision uint64, asOf bootclock.Instant, outage time.Duration) {
 	r.asOf.Store(int64(asOf))
 	r.mu.Lock()
 	old := r.endpoints
-	r.endpoints = make(map[string]catalog.Endpoint, len(items))
+	r.endpoints, r.versions = make(map[string]catalog.Endpoint, len(items)), make(map[string]uint64, len(items))
 	for _, o := range items {
 		e, ok := r.Decode(o)
 		if !ok {
@@ -59,9 +63,11 @@
 				continue
 			}
 		}
-		r.endpoints[o.Name] = e
+		r.setLocked(o.Name, e, o.Version)
 	}
-	if since, recovered := r.SinceStoreRecovery(); outage > 0 && recovered && since < expiryGrace {
+	since, recovered := r.SinceStoreRecovery()
+	entriesMayReturn := recovered && since < expiryGrace
+	if outage > 0 && entriesMayReturn {
 		r.expired = make(map[string]catalog.Endpoint)
 		r.expiredUntil = bootclock.Now().Add(expiryGrace - since)
 		for name, e := range old {
@@ -70,9 +76,28 @@
 			}
 		}
 	}
+	for name := range old {
+		if _, listed := r.endpoints[name]; !listed && !entriesMayReturn {
+			r.recordDepartureLocked(name, revision)
+		}
+	}
 	r.publishLocked()
 }
 
+// isExpiredLocked reports whether an endpoint without an entry is kept because the entry may return.
+func (r *Registry) isExpiredLocked(name string) bool {
+	_, ok := r.expired[name]
+	return ok
+}
+
+// setLocked sets the endpoint of an entry with a version.
+func (r *Registry) setLocked(name string, e catalog.Endpoint, version uint64) {
+	if e.Draining && !r.endpoints[name].Draining {
+		r.recordDepartureLocked(name, version)
+	}
+	r.endpoints[name], r.versions[name] = e, version
+}
+
 // HasSynced reports whether the endpoints have been listed at least once.
 func (r *Registry) HasSynced() bool { return r.synced.Load() }
 
@@ -109,7 +134,11 @@
 		if known {
 			r.Log.Info().Str("endpoint", name).Str("service", old.Service).Uint64("revision", ev.Revision).Msg("endpoint gone")
 		}
+		if known || r.isExpiredLocked(name) {
+			r.recordDepartureLocked(name, ev.Revision)
+		}
 		delete(r.endpoints, name)
+		delete(r.versions, name)
 		delete(r.expired, name)
 		if ev.Type == apitypes.EventDelete {
 			delete(r.unusable, name)
@@ -117,13 +146,13 @@
 		return
 	}
 	if r.endpoints == nil {
-		r.endpoints = make(map[string]catalog.Endpoint)
+		r.endpoints, r.versions = make(map[string]catalog.Endpoint), make(map[string]uint64)
 	}
 	if !known || old.Draining != e.Draining || old.Role != e.Role || old.StartedAtMS != e.StartedAtMS {
 		r.Log.Info().Str("endpoint", name).Str("service", e.Service).Str("domain", e.FailureDomain).Bool("leaving", e.Draining).
 			Str("engine_role", string(e.Role)).Bool("reclaimable", e.Reclaimable).Uint64("revision", ev.Revision).Msg("endpoint changed")
 	}
-	r.endpoints[name] = e
+	r.setLocked(name, e, ev.Object.Version)
 }
 
 // keepUsable returns a known endpoint whose entry lacks fields now but still names its service and address: it may be half written. It returns
@@ -152,11 +181,13 @@
 // publishLocked releases the lock and calls Changed with all endpoints, including those that are kept after they expired.
 func (r *Registry) publishLocked() {
 	list := make([]catalog.Endpoint, 0, len(r.endpoints)+len(r.expired))
-	for _, e := range r.endpoints {
+	for name, e := range r.endpoints {
+		e.Draining = e.Draining || r.hasLeftLocked(name)
 		list = append(list, e)
 	}
 	for name, e := range r.expired {
 		if _, ok := r.endpoints[name]; !ok {
+			e.Draining = e.Draining || r.hasLeftLocked(name)
 			list = append(list, e)
 		}
 	}
--- a/internal/vmlink/link.go
+++ b/internal/vmlink/link.go
@@ -16,6 +16,7 @@
 	"crocusglade.example/crocusglade/internal/bootclock"
 	"crocusglade.example/crocusglade/internal/catalog"
 	"crocusglade.example/crocusglade/internal/ctxtime"
+	"crocusglade.example/crocusglade/internal/discovery"
 	"crocusglade.example/crocusglade/internal/metering"
 	"crocusglade.example/crocusglade/internal/placement"
 	"crocusglade.example/crocusglade/internal/retry"
@@ -57,6 +58,7 @@
 	Parts                      *retry.PartQuarantine
 	MedianClock                *MedianClock
 	Quota                      QuotaExchange
+	Entries                    EntryExchange
 	// Watches returns how this VM follows the kinds of objects of the store, without those that it has not read yet.
 	Watches func() map[string]WatchStatus
 	// FetchCatalog fetches and applies the configuration of the VM at a link address. It is called when that VM has a newer one.
@@ -64,6 +66,12 @@
 	Log          zerolog.Logger
 }
 
+// EntryExchange tells other VMs of endpoints that left, and learns it from them. discovery.Registry implements it.
+type EntryExchange interface {
+	Departures() []discovery.Departure
+	MergeDepartures([]discovery.Departure)
+}
+
 // peer is the state of another VM, or of an address at which one may run.
 type peer struct {
 	status PeerStatus
@@ -263,7 +271,7 @@
 	work, reads := l.Fleet.CollectWork()
 	parts := l.Parts.Report()
 	quotas := l.Quota.Report()
-	watches := l.Watches()
+	departures, watches := l.Entries.Departures(), l.Watches()
 	if len(reads) > maxMessageReads {
 		reads = reads[len(reads)-maxMessageReads:]
 	}
@@ -277,6 +285,9 @@
 	for _, e := range l.Fleet.LeavingEndpoints() {
 		msg.Leaving = append(msg.Leaving, LeavingEndpoint(e))
 	}
+	for _, d := range departures {
+		msg.Departures = append(msg.Departures, Departure(d))
+	}
 	for fingerprint := range l.Quarantine.Entries() {
 		msg.Quarantined = append(msg.Quarantined, fingerprint)
 	}
@@ -358,6 +369,11 @@
 	for _, e := range msg.Leaving {
 		l.Fleet.RecordPeerLeaving(e.ID, e.StartedAtMS)
 	}
+	departures := make([]discovery.Departure, 0, len(msg.Departures))
+	for _, d := range msg.Departures {
+		departures = append(departures, discovery.Departure(d))
+	}
+	l.Entries.MergeDepartures(departures)
 	l.Parts.MergeReport(msg.decodeParts())
 	l.Quota.MergeReport(msg.VM, msg.Incarnation, decodeQuotas(msg.Quotas))
 	l.handleConfirmation(ctx, &msg)
--- a/internal/vmlink/message.go
+++ b/internal/vmlink/message.go
@@ -51,6 +51,8 @@
 	PartBlocks  []PartBlock `cbor:"23,keyasint,omitempty"`
 	// Leaving holds the endpoints that told the sender that they leave, as long as the store lists them as ready.
 	Leaving []LeavingEndpoint `cbor:"24,keyasint,omitempty"`
+	// Departures holds the endpoints that left according to the entries that the sender has read from the store.
+	Departures []Departure `cbor:"26,keyasint,omitempty"`
 	// Watches holds how the sender follows the kinds of objects of the store, by kind.
 	Watches map[string]WatchStatus `cbor:"27,keyasint,omitempty"`
 	// Demand is the sender's demand for prompt processing by service, in tokens per second.
@@ -73,6 +75,12 @@
 	FromStore bool `cbor:"2,keyasint,omitempty"`
 }
 
+// Departure is a discovery.Departure.
+type Departure struct {
+	Endpoint string `cbor:"1,keyasint"`
+	Revision uint64 `cbor:"2,keyasint"`
+}
+
 // EndpointWork is the unfinished work of a VM at one endpoint: the prompt tokens not yet processed and the requests running.
 type EndpointWork struct {
 	Unread  int `cbor:"1,keyasint,omitempty"`
--- a/internal/vmlink/vmlink_test.go
+++ b/internal/vmlink/vmlink_test.go
@@ -10,6 +10,7 @@
 
 	"crocusglade.example/crocusglade/internal/bootclock"
 	"crocusglade.example/crocusglade/internal/catalog"
+	"crocusglade.example/crocusglade/internal/discovery"
 	"crocusglade.example/crocusglade/internal/metering"
 	"crocusglade.example/crocusglade/internal/placement"
 	"crocusglade.example/crocusglade/internal/quota"
@@ -24,6 +25,7 @@
 		Meter: metering.NewMeter(time.Second, clock.Now), Ledger: metering.NewLedger(), Quarantine: retry.NewQuarantine(time.Minute),
 		Parts:       retry.NewPartQuarantine(bootclock.NowAsTime),
 		Watches:     func() map[string]WatchStatus { return nil },
+		Entries:     &discovery.Registry{Changed: func([]catalog.Endpoint) {}},
 		Quota:       quota.New(quota.Config{Now: func() time.Duration { return time.Duration(bootclock.Now()) }}),
 		MedianClock: clock, FetchCatalog: func(context.Context, string) error { return nil }, Log: zerolog.Nop()})
 }
