logs: how long connections to endpoints take to open

Cause: the log could not tell why endpoints work on for callers that have left (GONE): whether this VM notices late, cancels late, or whether the cancellation arrives late. Change: the client for endpoints averages how long connections take to open; each request's line has it as connect_ms. No decision changes.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -149,6 +149,8 @@
 	Ready func() bool
 	// EndpointsAge returns how long ago the list of endpoints was known to be current, for the log; nil if unknown.
 	EndpointsAge func() time.Duration
+	// ConnectDelay returns how long connections to endpoints take to open at present, for the log; nil if unknown.
+	ConnectDelay func() time.Duration
 	// Bounds returns the current bounds of the deployment. They may change.
 	Bounds func() Bounds
 	// MaxBufferedBytes bounds the responses that this VM buffers at the same time; 0 means buffer.DefaultMax.
@@ -550,6 +552,9 @@
 	if c.EndpointsAge != nil {
 		line = line.Int64("endpoints_age_ms", c.EndpointsAge().Milliseconds())
 	}
+	if c.ConnectDelay != nil {
+		line = line.Int64("connect_ms", c.ConnectDelay().Milliseconds())
+	}
 	line.Str("request", c.r.ID).Str("route", name).Str("service", c.service).Str("team", c.team).
 		Str("endpoint", c.endpoint).Str("reader", c.prefillEndpoint).Int("sends", c.dispatches).
 		Int64("predicted_ms", c.predicted.Milliseconds()).Int("unread_tokens", c.prefillTokens).Bool("fetched", c.fetchedCache).
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -167,8 +167,8 @@
 		Budget: n.retryBudget, Quarantine: quarantine, Quota: n.quotas, Parts: parts, Log: n.log, Observe: requestMetrics, OnMisdirected: n.link.AnnounceUnavailableEndpoint,
 		MaxBufferedBytes: bufferLimit(s.MemoryMB),
 		Ready:            func() bool { return n.catalogHolder.Current() != nil && n.registry.HasSynced() },
-		EndpointsAge:     n.registry.Age,
-		Bounds:           func() ingress.Bounds { return *n.bounds.Load() }, TimeToStop: n.timeToStop})
+		EndpointsAge:     n.registry.Age, ConnectDelay: n.Upstream.ConnectDelay,
+		Bounds: func() ingress.Bounds { return *n.bounds.Load() }, TimeToStop: n.timeToStop})
 	return n, nil
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -103,6 +103,7 @@
 type Client struct {
 	idHeader string
 	dialer   *netdial.Dialer
+	delay    connectDelay
 
 	mu     sync.Mutex
 	idle   map[string][]*conn
@@ -172,7 +173,11 @@
 		}
 		_ = c.Conn.Close()
 	}
+	start := time.Now()
 	raw, err := cl.dialer.DialContext(ctx, "tcp", addr)
+	if err == nil || time.Since(start) >= dialTimeout {
+		cl.delay.record(time.Since(start))
+	}
 	if err != nil {
 		return nil, false, err
 	}
@@ -183,6 +188,9 @@
 	return &conn{Conn: raw, addr: addr, limitedReader: limited, br: bufio.NewReaderSize(limited, 4096), idleTimeout: defaultIdleTimeout}, false, nil
 }
 
+// ConnectDelay returns how long connections take to open at present, 0 if none was opened lately.
+func (cl *Client) ConnectDelay() time.Duration { return cl.delay.current() }
+
 // Probe opens a connection and adds it to the idle ones. It fails when nothing accepts connections at the address.
 func (cl *Client) Probe(ctx context.Context, addr string) error {
 	c, _, err := cl.getConn(ctx, addr, true)
