node: only VMs that read the store report departures of endpoints

Cause: every VM repeated each departure in every status message for 3 s. Change: VMs that read the endpoints from another VM don't report: those that read the store are the first to know, and three of them are enough. Old departures are forgotten where they are added.

--- a/internal/discovery/departures.go
+++ b/internal/discovery/departures.go
@@ -33,27 +33,20 @@
 
 // recordDepartureLocked records that an endpoint left according to the entries.
 func (r *Registry) recordDepartureLocked(name string, revision uint64) {
+	r.pruneDeparturesLocked()
 	r.addDepartureLocked(name, departure{revision: revision, learnedAt: bootclock.Now(), own: true})
 }
 
-// addDepartureLocked adds a departure unless a newer one is known. It returns whether it is news.
-func (r *Registry) addDepartureLocked(name string, d departure) bool {
+// addDepartureLocked adds a departure unless a newer one is known, or the same one from entries.
+func (r *Registry) addDepartureLocked(name string, d departure) {
 	known, ok := r.departures[name]
-	if ok && known.revision > d.revision {
-		return false
+	if ok && (known.revision > d.revision || known.revision == d.revision && known.own) {
+		return
 	}
 	if r.departures == nil {
 		r.departures = make(map[string]departure)
 	}
-	isNews := !ok || known.revision < d.revision
-	if !isNews {
-		d.own, d.learnedAt = known.own, max(d.learnedAt, known.learnedAt)
-		if known.own {
-			d.learnedAt = known.learnedAt
-		}
-	}
 	r.departures[name] = d
-	return isNews
 }
 
 // hasLeftLocked reports whether an endpoint has left since its entry was written.
@@ -62,6 +55,15 @@
 	return ok && d.revision >= r.versions[name] && bootclock.Since(d.learnedAt) < departureMemory
 }
 
+// pruneDeparturesLocked forgets old departures.
+func (r *Registry) pruneDeparturesLocked() {
+	for name, d := range r.departures {
+		if bootclock.Since(d.learnedAt) > departureMemory {
+			delete(r.departures, name)
+		}
+	}
+}
+
 // Departures returns the endpoints whose departure this VM learned of from entries in the last departureReportTime, for other VMs whose
 // entries may be older.
 func (r *Registry) Departures() []Departure {
@@ -69,10 +71,7 @@
 	defer r.mu.Unlock()
 	var list []Departure
 	for name, d := range r.departures {
-		switch age := bootclock.Since(d.learnedAt); {
-		case age > departureMemory:
-			delete(r.departures, name)
-		case d.own && age < departureReportTime:
+		if d.own && bootclock.Since(d.learnedAt) < departureReportTime {
 			list = append(list, Departure{name, d.revision})
 		}
 	}
@@ -85,6 +84,7 @@
 // MergeDepartures applies what another VM has reported: an endpoint whose entry here is older than its departure gets no new work.
 func (r *Registry) MergeDepartures(list []Departure) {
 	r.mu.Lock()
+	r.pruneDeparturesLocked()
 	changed := false
 	for _, d := range list {
 		had := r.hasLeftLocked(d.Endpoint)
--- a/internal/node/watch_source.go
+++ b/internal/node/watch_source.go
@@ -130,6 +130,25 @@
 	return status
 }
 
+// entryExchange reports departures of endpoints to other VMs only while this VM reads the endpoints from the store: the others have them from
+// one that does, and would repeat the report once for each VM.
+type entryExchange struct{ node *Node }
+
+// Departures implements vmlink.EntryExchange.
+func (x entryExchange) Departures() []discovery.Departure {
+	if fromStore, _ := x.node.watchesStore.Load(x.node.Kinds.Endpoints); fromStore != true {
+		return nil
+	}
+	return x.node.registry.Departures()
+}
+
+// MergeDepartures implements vmlink.EntryExchange.
+func (x entryExchange) MergeDepartures(list []discovery.Departure) {
+	if len(list) > 0 {
+		x.node.registry.MergeDepartures(list)
+	}
+}
+
 // storeSource reads from the store and records failures.
 type storeSource struct {
 	node *Node
