ingress: a request that can't arrive in time isn't sent

Cause: whether time is left was asked without the time that packets wait on this VM's link, and not asked after a prefill. Change: before each attempt and between prefill and decode, what is left must be more than connections take to open at present. What isn't sent is refused, as not run. An attempt without a connection counts for that time only if other connections are slow too. Measured: TestRequestThatArrivesTooLateIsNotSent failed before (both late requests were sent).

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -149,7 +149,7 @@
 	Ready func() bool
 	// EndpointsAge returns how long ago the list of endpoints was known to be current, for the log; nil if unknown.
 	EndpointsAge func() time.Duration
-	// ConnectDelay returns how long connections to endpoints take to open at present, for the log; nil if unknown.
+	// ConnectDelay returns how long connections to endpoints take to open at present, and so how late a request arrives; nil if unknown.
 	ConnectDelay func() time.Duration
 	// Bounds returns the current bounds of the deployment. They may change.
 	Bounds func() Bounds
@@ -461,6 +461,15 @@
 
 func (c *call) remaining() time.Duration { return time.Until(c.deadline) }
 
+// canDispatch reports whether a request that is sent now can arrive at an endpoint with time left.
+func (c *call) canDispatch() bool {
+	needed := minDispatchTime
+	if c.ConnectDelay != nil {
+		needed += c.ConnectDelay()
+	}
+	return c.remaining() >= needed
+}
+
 // takeRetry reports whether the request may be sent to another endpoint. It takes a retry from the budget only if the last exchange
 // reached an endpoint, because the budget limits the load on endpoints.
 func (c *call) takeRetry(reason string) bool {
--- a/internal/ingress/plain.go
+++ b/internal/ingress/plain.go
@@ -21,7 +21,7 @@
 	retryAfterFull = 150 * time.Millisecond
 	// crashProbeTimeout is the time-out of the connection attempt that checks whether an endpoint has crashed.
 	crashProbeTimeout = 150 * time.Millisecond
-	// minDispatchTime is the shortest remaining time with which a request is still sent to an endpoint.
+	// minDispatchTime is the shortest time that an endpoint must have left when a request arrives there.
 	minDispatchTime = 15 * time.Millisecond
 	// maxSuspectEvents is the largest number of events that an engine may have sent for a request that crashed it. Requests that crash
 	// engines do so when the answer begins.
@@ -39,7 +39,7 @@
 func (c *call) servePlain() {
 	var last *plainResponse
 	for {
-		if c.remaining() < minDispatchTime || c.ctx.Err() != nil {
+		if !c.canDispatch() || c.ctx.Err() != nil {
 			break
 		}
 		attempt := c.Fleet.PlaceCall(c.service, c.excluded)
--- a/internal/ingress/probe_test.go
+++ b/internal/ingress/probe_test.go
@@ -19,11 +19,13 @@
 // prefillBackend is a scriptedBackend with prefill engines.
 type prefillBackend struct {
 	*scriptedBackend
-	prefills int
+	prefills    int
+	prefillTime time.Duration
 }
 
 func (b *prefillBackend) Prefill(_ context.Context, e *catalog.Endpoint, _ *Request, _ *Dispatch) (*Handle, int, error) {
 	b.prefills++
+	time.Sleep(b.prefillTime)
 	return &Handle{Endpoint: *e, ID: "handle"}, http.StatusOK, nil
 }
 
@@ -97,3 +99,35 @@
 		})
 	}
 }
+
+// Guards against requests that are sent although they can't reach an endpoint before their caller's time ends, because packets wait on this VM's
+// link: at once, and after a prefill that took the time that was left.
+func TestRequestThatArrivesTooLateIsNotSent(t *testing.T) {
+	const delay = 300 * time.Millisecond
+	for name, c := range map[string]struct {
+		left    time.Duration
+		prefill time.Duration
+		tokens  int
+		sent    int
+	}{
+		"in time":                {time.Second, 0, 100, 1},
+		"too late":               {delay, 0, 100, 0},
+		"in time after prefill":  {time.Second, 100 * time.Millisecond, 60_000, 1},
+		"too late after prefill": {time.Second, 800 * time.Millisecond, 60_000, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := &prefillBackend{scriptedBackend: &scriptedBackend{scripts: map[string]script{"a": {steps: []step{{0, event(1)}}}}}, prefillTime: c.prefill}
+				s, _ := newProbeServer(b, "a")
+				s.ConnectDelay = func() time.Duration { return delay }
+				reply := &streamReply{}
+				s.Serve(context.Background(), &Request{ID: "r", Method: http.MethodPost, Target: "/stream/x", Path: "/stream/x", Host: "h", Header: http.Header{},
+					Arrived: time.Now(), Timeout: c.left, Prompt: &placement.Prompt{Tokens: c.tokens, MaxOutput: 10,
+						Parts: []placement.Part{{ID: "sound", Tokens: c.tokens / 2}, {ID: "own", Tokens: c.tokens / 2}}}}, reply)
+				if len(b.sent) != c.sent || (c.prefill > 0) != (b.prefills > 0) {
+					t.Errorf("sent to %v after %d prefills, status %d", b.sent, b.prefills, reply.status)
+				}
+			})
+		})
+	}
+}
--- a/internal/ingress/stall.go
+++ b/internal/ingress/stall.go
@@ -167,7 +167,7 @@
 // response is better than none. An exchange that is to replace another one isn't replaced itself.
 func (c *call) canFailOver(x *exchange) bool {
 	return c.standby == nil && c.route.Repeatable() && c.possibleRuns+c.openExchanges < c.route.Attempts && c.dispatches < maxDispatches &&
-		c.remaining() > minDispatchTime && c.hasOther(&x.attempt.Endpoint)
+		c.canDispatch() && c.hasOther(&x.attempt.Endpoint)
 }
 
 // hasOther reports whether the retry budget and the other endpoints allow to try another one than e.
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -52,7 +52,7 @@
 	st := &streamState{lastEvent: c.r.ResumeAfter}
 	defer c.abandonNextPlan()
 	for {
-		if c.remaining() < minDispatchTime || c.ctx.Err() != nil {
+		if !c.canDispatch() || c.ctx.Err() != nil {
 			break
 		}
 		plan := c.takeNextPlan()
@@ -151,6 +151,12 @@
 			plan.Decode.Done(placement.Abandoned)
 			return false, c.ctx.Err() == nil
 		}
+		if !c.canDispatch() {
+			c.detail = appendDetail(c.detail, "no time left for the decode")
+			plan.Decode.Done(placement.Abandoned)
+			c.freeHandle(handle)
+			return false, true
+		}
 		if c.partsBlocked() {
 			c.detail = appendDetail(c.detail, "a part of the prompt was blocked before the decode")
 			plan.Decode.Done(placement.Abandoned)
@@ -320,7 +326,7 @@
 // planNext makes the plan for the next attempt and takes its retry from the budget, while an engine that prefills the prompt is silent. It
 // returns false if the request can't be tried elsewhere.
 func (c *call) planNext(silent *catalog.Endpoint, st *streamState) bool {
-	if c.nextPlan != nil || c.standby != nil || c.dispatches >= maxDispatches || c.remaining() < minDispatchTime || !c.hasOther(silent) {
+	if c.nextPlan != nil || c.standby != nil || c.dispatches >= maxDispatches || !c.canDispatch() || !c.hasOther(silent) {
 		return false
 	}
 	c.excluded[silent.ID] = true
--- a/internal/upstream/connect_delay.go
+++ b/internal/upstream/connect_delay.go
@@ -10,6 +10,8 @@
 	connectDelayMemory = time.Second
 	// connectDelayWeight is the weight of the newest connect time in the average.
 	connectDelayWeight = 0.5
+	// busyConnectDelay is the average from which an attempt without a connection tells of this VM's link. Below, it tells of the endpoint.
+	busyConnectDelay = dialTimeout / 4
 )
 
 // connectDelay averages the times that it took to open connections. An idle network takes about a millisecond; more means that packets wait
@@ -20,12 +22,18 @@
 	at      time.Time
 }
 
-// record adds the time that a connection took. An attempt that was given up counts with the time that it had.
-func (d *connectDelay) record(took time.Duration) {
+// record adds the time that a connection took, or that an attempt without a connection had.
+func (d *connectDelay) record(took time.Duration, connected bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
 	if now.Sub(d.at) > connectDelayMemory {
+		d.average = 0
+	}
+	if !connected && d.average < busyConnectDelay {
+		return
+	}
+	if d.average == 0 {
 		d.average = took
 	}
 	d.average += time.Duration(connectDelayWeight * float64(took-d.average))
--- a/internal/upstream/connect_delay_test.go
+++ b/internal/upstream/connect_delay_test.go
@@ -50,17 +50,25 @@
 func TestConnectDelayFollowsLink(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var d connectDelay
-		d.record(300 * time.Millisecond)
+		d.record(dialTimeout, false)
+		if got := d.current(); got != 0 {
+			t.Errorf("after an endpoint without a connection: %v", got)
+		}
+		d.record(300*time.Millisecond, true)
 		if got := d.current(); got != 300*time.Millisecond {
 			t.Errorf("first: %v", got)
 		}
 		for range 8 {
-			d.record(2 * time.Millisecond)
+			d.record(2*time.Millisecond, true)
 		}
 		if got := d.current(); got > 5*time.Millisecond {
 			t.Errorf("after short ones: %v", got)
 		}
-		d.record(300 * time.Millisecond)
+		d.record(300*time.Millisecond, true)
+		d.record(dialTimeout, false)
+		if got := d.current(); got < 200*time.Millisecond {
+			t.Errorf("after an attempt without a connection on a busy link: %v", got)
+		}
 		time.Sleep(connectDelayMemory + time.Millisecond)
 		if got := d.current(); got != 0 {
 			t.Errorf("without new ones: %v", got)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -182,7 +182,7 @@
 	start := time.Now()
 	raw, err := cl.dialer.DialContext(ctx, "tcp", addr)
 	if err == nil || time.Since(start) >= dialTimeout {
-		cl.delay.record(time.Since(start))
+		cl.delay.record(time.Since(start), err == nil)
 	}
 	if err != nil {
 		return nil, false, err
