retry: the likelier of two causes is chosen in one place

Cause: the comparison of candidates was one long line, and searched for a better explanation of each candidate, though only the likeliest one is blocked. Change: compareCauses holds the order; the search is made for a candidate that would be the likeliest. No decision changes. Measured: the tests of internal/retry pass.

--- a/internal/retry/part_quarantine.go
+++ b/internal/retry/part_quarantine.go
@@ -501,10 +501,10 @@
 	}
 	part, best := Part{}, (*partRecord)(nil)
 	for key, r := range q.records {
-		if !r.isCandidate() || float64(r.unexplained) < specificShare*float64(most) || q.hasBetterExplanation(key, r) {
+		if !r.isCandidate() || float64(r.unexplained) < specificShare*float64(most) {
 			continue
 		}
-		if best == nil || cmp.Or(compareBool(best.isVouched(), r.isVouched()), cmp.Compare(r.depth, best.depth), cmp.Compare(r.unexplained, best.unexplained), cmp.Compare(part.ID, key.ID), cmp.Compare(part.Service, key.Service)) > 0 {
+		if (best == nil || compareCauses(key, r, part, best) > 0) && !q.hasBetterExplanation(key, r) {
 			part, best = key, r
 		}
 	}
@@ -514,15 +514,15 @@
 	return part, best
 }
 
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
+// compareCauses returns a positive number if the part a is the likelier cause of crashes than b, and a negative one if b is.
+func compareCauses(a Part, ra *partRecord, b Part, rb *partRecord) int {
 	switch {
-	case a == b:
-		return 0
-	case a:
+	case ra.isVouched() && !rb.isVouched():
+		return -1
+	case rb.isVouched() && !ra.isVouched():
 		return 1
 	}
-	return -1
+	return cmp.Or(cmp.Compare(ra.depth, rb.depth), cmp.Compare(ra.unexplained, rb.unexplained), cmp.Compare(b.ID, a.ID), cmp.Compare(b.Service, a.Service))
 }
 
 // isCandidate reports whether the part has enough crashes to be blocked.
