node: a VM reads only from VMs that read the store

Cause: for 5 s after a failed read from the store, a VM read from any VM with a recent copy, also from one whose copy came from itself. After an outage of the store one VM listed, the others read from it, and then it read from one of them. Nobody read the store until the copies were 1.5 s old. The class of fault: a copy counts as a source of itself.

Change: a VM reads only from VMs that read the store, and serves its copy only while it does so itself. A successful read ends the time after a failure. After a failure, only copies of at most 1.3 s count, since older ones may have failed in the same way.

--- a/internal/node/watch_source.go
+++ b/internal/node/watch_source.go
@@ -31,6 +31,8 @@
 	storeWatchers = 3
 	// maxWatcherAge is the age of what a VM has read up to which other VMs watch it.
 	maxWatcherAge = 1800 * time.Millisecond
+	// maxAgeAfterFailure is the same for a VM whose own read from the store has just failed. A copy that is older may have failed like its own.
+	maxAgeAfterFailure = 1300 * time.Millisecond
 	// relayPath is the path prefix at which a VM serves its watch caches to other VMs; the kind follows.
 	relayPath = "/follow/"
 	// maxRelayBytes bounds a response of another VM.
@@ -59,16 +61,14 @@
 }
 
 // selectRelay returns the VM from which this VM reads a kind, and false if it reads from the store: if fewer than storeWatchers VMs of lower rank
-// do. After a failure of the store it reads from any VM that still can, or else from any that has a recent copy.
+// do. After a failure of the store it reads from any VM that still can. It never reads from a VM that reads from another one: two that read from
+// each other would both take old objects for recent ones.
 func (n *Node) selectRelay(kind string) (vmAddress, bool) {
-	watchers, others := n.recentWatchers(kind)
 	if bootclock.Since(lastFailure(&n.storeFailedAt, kind)) < storeFailureBackoff {
-		if len(watchers) > 0 {
-			return n.preferred(watchers), true
-		}
-		return n.preferred(others), len(others) > 0
+		watchers := n.recentWatchers(kind, maxAgeAfterFailure)
+		return n.preferred(watchers), len(watchers) > 0
 	}
-	lowerRanked := slices.DeleteFunc(watchers, func(vm vmAddress) bool { return watchRank(vm.name) >= watchRank(n.VM) })
+	lowerRanked := slices.DeleteFunc(n.recentWatchers(kind, maxWatcherAge), func(vm vmAddress) bool { return watchRank(vm.name) >= watchRank(n.VM) })
 	if len(lowerRanked) < storeWatchers {
 		return vmAddress{}, false
 	}
@@ -100,22 +100,25 @@
 // relayKey identifies the reads of a kind from the VM at a link address.
 type relayKey struct{ kind, link string }
 
-// recentWatchers returns the other serving VMs whose copy of a kind is recent and from which no read failed lately: those that read it from the
-// store, and those that read it from another VM.
-func (n *Node) recentWatchers(kind string) (watchers, others []vmAddress) {
+// recentWatchers returns the other serving VMs that read a kind from the store, whose copy is at most maxAge old and from which no read failed
+// lately.
+func (n *Node) recentWatchers(kind string, maxAge time.Duration) []vmAddress {
+	var watchers []vmAddress
 	for _, vm := range n.link.LivePeers() {
 		status, known := vm.Watches[kind]
-		if !known || !vm.Serving || vm.Draining || time.Duration(status.AgeMS)*time.Millisecond > maxWatcherAge ||
+		if !known || !status.FromStore || !vm.Serving || vm.Draining || time.Duration(status.AgeMS)*time.Millisecond > maxAge ||
 			bootclock.Since(lastFailure(&n.relayFailedAt, relayKey{kind, vm.LinkAddress})) < relayFailureBackoff {
 			continue
 		}
-		if address := (vmAddress{vm.Name, vm.LinkAddress}); status.FromStore {
-			watchers = append(watchers, address)
-		} else {
-			others = append(others, address)
-		}
+		watchers = append(watchers, vmAddress{vm.Name, vm.LinkAddress})
 	}
-	return watchers, others
+	return watchers
+}
+
+// readsStore reports whether this VM's last source of a kind was the store.
+func (n *Node) readsStore(kind string) bool {
+	fromStore, _ := n.watchesStore.Load(kind)
+	return fromStore == true
 }
 
 // watchStatus returns how this VM follows the kinds that it has read.
@@ -123,8 +126,7 @@
 	status := make(map[string]vmlink.WatchStatus, len(n.watchCaches))
 	for kind, cache := range n.watchCaches {
 		if age, ok := cache.Age(); ok {
-			fromStore, _ := n.watchesStore.Load(kind)
-			status[kind] = vmlink.WatchStatus{AgeMS: age.Milliseconds() + 1, FromStore: fromStore == true}
+			status[kind] = vmlink.WatchStatus{AgeMS: age.Milliseconds() + 1, FromStore: n.readsStore(kind)}
 		}
 	}
 	return status
@@ -136,7 +138,7 @@
 
 // Departures implements vmlink.EntryExchange.
 func (x entryExchange) Departures() []discovery.Departure {
-	if fromStore, _ := x.node.watchesStore.Load(x.node.Kinds.Endpoints); fromStore != true {
+	if !x.node.readsStore(x.node.Kinds.Endpoints) {
 		return nil
 	}
 	return x.node.registry.Departures()
@@ -162,24 +164,26 @@
 	return discovery.StoreSource{Store: s.node.Store}
 }
 
-// recordFailure records the time of a failed read. A compacted history isn't a failure of the store.
-func (s storeSource) recordFailure(err error) {
+// recordResult records the time of a failed read, and forgets it after a successful one. A compacted history isn't a failure of the store.
+func (s storeSource) recordResult(err error) {
 	if err != nil && !errors.Is(err, objectstore.ErrCompacted) {
 		s.node.storeFailedAt.Store(s.kind, bootclock.Now())
+		return
 	}
+	s.node.storeFailedAt.Delete(s.kind)
 }
 
 // List implements discovery.Source.
 func (s storeSource) List(ctx context.Context, kind string) ([]apitypes.Object, uint64, bootclock.Instant, error) {
 	items, revision, asOf, err := s.source().List(ctx, kind)
-	s.recordFailure(err)
+	s.recordResult(err)
 	return items, revision, asOf, err
 }
 
 // Poll implements discovery.Source.
 func (s storeSource) Poll(ctx context.Context, kind string, after uint64, wait time.Duration) ([]apitypes.Event, uint64, bootclock.Instant, error) {
 	events, revision, asOf, err := s.source().Poll(ctx, kind, after, wait)
-	s.recordFailure(err)
+	s.recordResult(err)
 	return events, revision, asOf, err
 }
 
@@ -279,12 +283,16 @@
 	return &s, nil
 }
 
-// serveRelay serves this VM's watch caches to other VMs.
+// serveRelay serves this VM's watch caches to other VMs while it reads from the store.
 func (n *Node) serveRelay(c echo.Context) error {
-	cache := n.watchCaches[c.Param("kind")]
+	kind := c.Param("kind")
+	cache := n.watchCaches[kind]
 	if cache == nil {
 		return c.NoContent(http.StatusNotFound)
 	}
+	if !n.readsStore(kind) {
+		return c.NoContent(http.StatusServiceUnavailable)
+	}
 	var s *discovery.Snapshot
 	var err error
 	if after := c.QueryParam("after"); after != "" {
