node: the VMs with the fastest links watch the store for the others

Cause: the three VMs that watch the store for 83 others were chosen by a hash of their names. On this deployment they mostly have links of 10 Mbit/s, and each serves 28 VMs: lists of 143 endpoints (about 40 KB) and whole configurations. Their links are full for seconds, reads from them time out, and each failed read is followed by a new list, which fills the links further.

Change: VMs state the bandwidth of their links (limits.link_mbps) in their status, and the order in which VMs are chosen begins with the fastest.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -144,7 +144,7 @@
 	n.quotas = newQuotaLimiter(quotaObserver{metrics: requestMetrics, log: n.log})
 	quarantine, parts := retry.NewQuarantine(quarantineDuration), retry.NewPartQuarantine(bootclock.NowAsTime)
 	n.link = vmlink.New(vmlink.Config{VM: s.VM, Incarnation: n.incarnation, Domain: s.FailureDomain, CallerAddress: s.CallerListenAddress,
-		LinkAddress: n.linkAddress(s.IP), Catalog: n.catalogHolder, Fleet: n.fleet, Meter: n.meter, Ledger: n.ledger, Quarantine: quarantine, Parts: parts,
+		LinkAddress: n.linkAddress(s.IP), LinkMbps: s.LinkMbps, Catalog: n.catalogHolder, Fleet: n.fleet, Meter: n.meter, Ledger: n.ledger, Quarantine: quarantine, Parts: parts,
 		MedianClock: n.medianClock, Quota: n.quotas, Entries: entryExchange{n}, Watches: n.watchStatus, FetchCatalog: n.fetchCatalog, Log: n.log})
 	n.retryBudget = retry.NewWindowBudget(s.RetryRatio*retryBudgetFraction, s.RetrySlack*retryBudgetFraction, s.RetryWindow)
 	n.bounds.Store(&ingress.Bounds{RevokeBound: s.RevokeBound, ApplyBound: s.ApplyBound})
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -37,6 +37,8 @@
 	ReportsUsage, OrdersEndpoints bool
 	// MemoryMB is the memory in MiB above which the process is killed; 0 sets no limit.
 	MemoryMB int64
+	// LinkMbps is the bandwidth of the VM's link in Mbit/s; 0 if unknown.
+	LinkMbps float64
 	// FileDescriptors is the number of file descriptors that the process may open; 0 means unknown.
 	FileDescriptors int64
 	// MetricsPort is the port for metrics; 0 disables them.
--- a/internal/node/watch_source.go
+++ b/internal/node/watch_source.go
@@ -46,9 +46,21 @@
 	storeFailureBackoff = 5 * time.Second
 )
 
-// watchRank returns a hash of a VM's name. The VMs with the lowest hashes watch the store: all VMs choose the same ones, and a
-// stopped one is replaced by a single VM.
-func watchRank(vm string) uint64 { return xxhash.Sum64String(vm) }
+// watchRank is the place of a VM in the order in which VMs are chosen to watch the store for the others. All VMs choose the same ones, and a
+// stopped one is replaced by a single VM. The fastest links come first, because all other VMs read through them.
+type watchRank struct {
+	linkMbps float64
+	hash     uint64
+}
+
+func newWatchRank(vm string, linkMbps float64) watchRank {
+	return watchRank{linkMbps, xxhash.Sum64String(vm)}
+}
+
+// compare returns a negative number if r comes before other.
+func (r watchRank) compare(other watchRank) int {
+	return cmp.Or(cmp.Compare(other.linkMbps, r.linkMbps), cmp.Compare(r.hash, other.hash))
+}
 
 // watchSource returns the source from which this VM reads a kind.
 func (n *Node) watchSource(kind string) discovery.Source {
@@ -60,20 +72,21 @@
 	return relaySource{node: n, link: relay.link}
 }
 
-// selectRelay returns the VM from which this VM reads a kind, and false if it reads from the store: if fewer than storeWatchers VMs of lower rank
-// do. After a failure of the store it reads from any VM that still can. It never reads from a VM that reads from another one: two that read from
+// selectRelay returns the VM from which this VM reads a kind, and false if it reads from the store: if fewer than storeWatchers VMs that come
+// before it in rank do. After a failure of the store it reads from any VM that still can. It never reads from a VM that reads from another one: two that read from
 // each other would both take old objects for recent ones.
 func (n *Node) selectRelay(kind string) (vmAddress, bool) {
 	if bootclock.Since(lastFailure(&n.storeFailedAt, kind)) < storeFailureBackoff {
 		watchers := n.recentWatchers(kind, maxAgeAfterFailure)
 		return n.preferred(watchers), len(watchers) > 0
 	}
-	lowerRanked := slices.DeleteFunc(n.recentWatchers(kind, maxWatcherAge), func(vm vmAddress) bool { return watchRank(vm.name) >= watchRank(n.VM) })
-	if len(lowerRanked) < storeWatchers {
+	own := newWatchRank(n.VM, n.LinkMbps)
+	earlier := slices.DeleteFunc(n.recentWatchers(kind, maxWatcherAge), func(vm vmAddress) bool { return vm.rank.compare(own) >= 0 })
+	if len(earlier) < storeWatchers {
 		return vmAddress{}, false
 	}
-	slices.SortFunc(lowerRanked, func(a, b vmAddress) int { return cmp.Compare(watchRank(a.name), watchRank(b.name)) })
-	return n.preferred(lowerRanked[:storeWatchers]), true
+	slices.SortFunc(earlier, func(a, b vmAddress) int { return a.rank.compare(b.rank) })
+	return n.preferred(earlier[:storeWatchers]), true
 }
 
 // preferred returns the VM of a list that this VM reads from. It stays the same while others come and go.
@@ -81,8 +94,9 @@
 	if len(list) == 0 {
 		return vmAddress{}
 	}
+	weight := func(vm vmAddress) uint64 { return xxhash.Sum64String(n.VM + "\x00" + vm.name) }
 	return slices.MaxFunc(list, func(a, b vmAddress) int {
-		return cmp.Or(cmp.Compare(watchRank(n.VM+"\x00"+a.name), watchRank(n.VM+"\x00"+b.name)), cmp.Compare(a.name, b.name))
+		return cmp.Or(cmp.Compare(weight(a), weight(b)), cmp.Compare(a.name, b.name))
 	})
 }
 
@@ -110,7 +124,7 @@
 			bootclock.Since(lastFailure(&n.relayFailedAt, relayKey{kind, vm.LinkAddress})) < relayFailureBackoff {
 			continue
 		}
-		watchers = append(watchers, vmAddress{vm.Name, vm.LinkAddress})
+		watchers = append(watchers, vmAddress{vm.Name, vm.LinkAddress, newWatchRank(vm.Name, vm.LinkMbps)})
 	}
 	return watchers
 }
@@ -187,7 +201,10 @@
 	return events, revision, asOf, err
 }
 
-type vmAddress struct{ name, link string }
+type vmAddress struct {
+	name, link string
+	rank       watchRank
+}
 
 // relaySource reads from the watch cache of another VM.
 type relaySource struct {
--- a/internal/vmlink/link.go
+++ b/internal/vmlink/link.go
@@ -50,15 +50,17 @@
 	VM, Incarnation, Domain string
 	// CallerAddress and LinkAddress are this VM's addresses for callers and for other VMs.
 	CallerAddress, LinkAddress string
-	Catalog                    *catalog.Holder
-	Fleet                      *placement.Fleet
-	Meter                      *metering.Meter
-	Ledger                     *metering.Ledger
-	Quarantine                 *retry.Quarantine
-	Parts                      *retry.PartQuarantine
-	MedianClock                *MedianClock
-	Quota                      QuotaExchange
-	Entries                    EntryExchange
+	// LinkMbps is the bandwidth of this VM's link in Mbit/s; 0 if unknown.
+	LinkMbps    float64
+	Catalog     *catalog.Holder
+	Fleet       *placement.Fleet
+	Meter       *metering.Meter
+	Ledger      *metering.Ledger
+	Quarantine  *retry.Quarantine
+	Parts       *retry.PartQuarantine
+	MedianClock *MedianClock
+	Quota       QuotaExchange
+	Entries     EntryExchange
 	// Watches returns how this VM follows the kinds of objects of the store, without those that it has not read yet.
 	Watches func() map[string]WatchStatus
 	// FetchCatalog fetches and applies the configuration of the VM at a link address. It is called when that VM has a newer one.
@@ -101,6 +103,8 @@
 	DutyToken uint64
 	// Watches holds how the VM follows the kinds of objects of the store.
 	Watches map[string]WatchStatus
+	// LinkMbps is the bandwidth of the VM's link in Mbit/s; 0 if unknown.
+	LinkMbps float64
 }
 
 // Link exchanges status messages with all other VMs. Its methods may be called concurrently.
@@ -279,7 +283,7 @@
 	defer l.mu.Unlock()
 	msg := &StatusMessage{VM: l.VM, Incarnation: l.Incarnation, Domain: l.Domain, Front: l.CallerAddress, Link: l.LinkAddress,
 		Draining: l.draining, DutyToken: l.dutyToken, Work: encodeWork(work), Reads: EncodeReads(reads), Demand: l.Fleet.MeasureDemand(),
-		Unreachable: encodeUnreachable(l.Fleet.UnreachableEndpoints()), ConfirmedMS: -1, Watches: watches}
+		Unreachable: encodeUnreachable(l.Fleet.UnreachableEndpoints()), ConfirmedMS: -1, Watches: watches, LinkMbps: l.LinkMbps}
 	msg.encodeParts(parts)
 	msg.Quotas = encodeQuotas(quotas)
 	for _, e := range l.Fleet.LeavingEndpoints() {
@@ -349,7 +353,7 @@
 	wasLive := p.live
 	p.receivedAt, p.lastSentAt, p.live = bootclock.Now(), msg.SentAt, true
 	p.status = PeerStatus{Name: msg.VM, Incarnation: msg.Incarnation, Domain: msg.Domain, CallerAddress: msg.Front, LinkAddress: msg.Link, Serving: msg.Serving,
-		Draining: msg.Draining, ConfirmedMS: msg.ConfirmedMS, Revision: msg.Revision, DutyToken: msg.DutyToken, Watches: msg.Watches}
+		Draining: msg.Draining, ConfirmedMS: msg.ConfirmedMS, Revision: msg.Revision, DutyToken: msg.DutyToken, Watches: msg.Watches, LinkMbps: msg.LinkMbps}
 	l.mu.Unlock()
 	if !wasLive {
 		l.Log.Info().Str("dependency", "vm").Str("peer", msg.VM).Str("incarnation", msg.Incarnation).Msg("dependency regained")
