discovery: a silent watch is noticed within a second

Cause: watches may hear nothing for a second and are then cut without a sign. A poll waited for 1 s and counted as silent 0.6 s later, the next call came 0.1 s to 0.4 s after that, and it went to another VM, which had lost its watch at the same time: its copy was as old but looked recent. The times add up to more than the bounds that they serve.

Change: polls of the store wait 0.5 s and count as silent 0.35 s later; the time that such a poll took serves as the delay before the list that follows; a failed poll is no failure of the store, so that this list goes to the store, and only a failed list sends a VM to other VMs. Polls between VMs stay as they were.

The test passes now. The price is one more call a second for each of the three watching VMs and the two kinds.

--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -18,10 +18,11 @@
 )
 
 const (
-	// pollWait is how long a poll waits for changes. It bounds the age of the last confirmation while nothing changes.
-	pollWait = time.Second
-	// pollSlack is how much longer than pollWait a poll may take before its connection counts as unresponsive.
-	pollSlack = 600 * time.Millisecond
+	// storePollWait is how long a poll of the store waits for changes. It bounds the age of the last confirmation while nothing changes, and with
+	// storePollSlack the time in which changes don't arrive because a watch has gone silent.
+	storePollWait = 500 * time.Millisecond
+	// storePollSlack is how much longer than it waits a poll of the store may take before its connection counts as unresponsive.
+	storePollSlack = 350 * time.Millisecond
 	// listTimeout bounds one list call.
 	listTimeout = 1200 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the random delay after a failed call.
@@ -41,6 +42,8 @@
 	List(ctx context.Context, kind string) (items []apitypes.Object, revision uint64, asOf bootclock.Instant, err error)
 	// Poll returns the changes after a revision like objectstore.Poller, and the instant up to which they are complete.
 	Poll(ctx context.Context, kind string, after uint64, wait time.Duration) (events []apitypes.Event, revision uint64, asOf bootclock.Instant, err error)
+	// PollTimes returns how long polls wait for changes, and how much longer they may take.
+	PollTimes() (wait, slack time.Duration)
 }
 
 // StoreSource reads from the platform's store.
@@ -51,6 +54,9 @@
 	}
 }
 
+// PollTimes implements Source.
+func (s StoreSource) PollTimes() (wait, slack time.Duration) { return storePollWait, storePollSlack }
+
 // List implements Source.
 func (s StoreSource) List(ctx context.Context, kind string) ([]apitypes.Object, uint64, bootclock.Instant, error) {
 	sent := bootclock.Now()
@@ -93,14 +99,25 @@
 // Run watches until ctx ends. It retries failed calls and always returns nil.
 func (w *Watcher) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if err := w.listAndPoll(ctx); err != nil && ctx.Err() == nil {
-			w.markLost(err)
+		err := w.listAndPoll(ctx)
+		if err == nil || ctx.Err() != nil {
+			continue
+		}
+		w.markLost(err)
+		var unanswered *unansweredPollError
+		if !errors.As(err, &unanswered) {
 			ctxtime.Sleep(ctx, minRetryDelay+rand.N(maxRetryDelay-minRetryDelay))
 		}
 	}
 	return nil
 }
 
+// unansweredPollError is the error of a poll without an answer. The time that it took serves as the delay before the next call.
+type unansweredPollError struct{ err error }
+
+func (e *unansweredPollError) Error() string { return e.err.Error() }
+func (e *unansweredPollError) Unwrap() error { return e.err }
+
 // listAndPoll lists and then polls until a call fails, which it returns, or until the source doesn't have the changes after the last poll,
 // which needs a new list at once.
 func (w *Watcher) listAndPoll(ctx context.Context) error {
@@ -133,10 +150,14 @@
 // poll polls once and returns the revision to continue from.
 func (w *Watcher) poll(ctx context.Context, source Source, revision uint64) (uint64, error) {
 	start := bootclock.Now()
-	pollCtx, cancel := context.WithTimeout(ctx, pollWait+pollSlack)
-	events, latest, asOf, err := source.Poll(pollCtx, w.Kind, revision, pollWait)
-	cancel()
-	if err != nil {
+	wait, slack := source.PollTimes()
+	pollCtx, cancel := context.WithTimeout(ctx, wait+slack)
+	defer cancel()
+	events, latest, asOf, err := source.Poll(pollCtx, w.Kind, revision, wait)
+	switch {
+	case err != nil && pollCtx.Err() != nil:
+		return revision, &unansweredPollError{err}
+	case err != nil:
 		return revision, err
 	}
 	latest = max(latest, revision)
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -17,6 +17,8 @@
 	calls int
 }
 
+func (s *busySource) PollTimes() (wait, slack time.Duration) { return storePollWait, storePollSlack }
+
 const changeInterval = 5 * time.Millisecond
 
 func (s *busySource) List(context.Context, string) ([]apitypes.Object, uint64, bootclock.Instant, error) {
--- a/internal/node/watch_source.go
+++ b/internal/node/watch_source.go
@@ -44,6 +44,9 @@
 	behindRetryDelay = 100 * time.Millisecond
 	// storeFailureBackoff is how long a VM watches other VMs after a failed read from the store, if one has a recent copy.
 	storeFailureBackoff = 5 * time.Second
+	// relayPollWait is how long a poll of another VM waits for changes, relayPollSlack how much longer it may take.
+	relayPollWait  = time.Second
+	relayPollSlack = 600 * time.Millisecond
 )
 
 // watchRank is the place of a VM in the order in which VMs are chosen to watch the store for the others. All VMs choose the same ones, and a
@@ -165,7 +168,7 @@
 	}
 }
 
-// storeSource reads from the store and records failures.
+// storeSource reads from the store and records whether lists fail.
 type storeSource struct {
 	node *Node
 	kind string
@@ -178,27 +181,24 @@
 	return discovery.StoreSource{Store: s.node.Store}
 }
 
-// recordResult records the time of a failed read, and forgets it after a successful one. A compacted history isn't a failure of the store.
-func (s storeSource) recordResult(err error) {
-	if err != nil && !errors.Is(err, objectstore.ErrCompacted) {
-		s.node.storeFailedAt.Store(s.kind, bootclock.Now())
-		return
-	}
-	s.node.storeFailedAt.Delete(s.kind)
-}
+// PollTimes implements discovery.Source.
+func (s storeSource) PollTimes() (wait, slack time.Duration) { return s.source().PollTimes() }
 
 // List implements discovery.Source.
 func (s storeSource) List(ctx context.Context, kind string) ([]apitypes.Object, uint64, bootclock.Instant, error) {
 	items, revision, asOf, err := s.source().List(ctx, kind)
-	s.recordResult(err)
+	if err != nil {
+		s.node.storeFailedAt.Store(s.kind, bootclock.Now())
+	} else {
+		s.node.storeFailedAt.Delete(s.kind)
+	}
 	return items, revision, asOf, err
 }
 
-// Poll implements discovery.Source.
+// Poll implements discovery.Source. A failure isn't recorded: watches are cut while the store works, and the VMs that could be read instead
+// have lost theirs too. The list that follows shows whether the store fails.
 func (s storeSource) Poll(ctx context.Context, kind string, after uint64, wait time.Duration) ([]apitypes.Event, uint64, bootclock.Instant, error) {
-	events, revision, asOf, err := s.source().Poll(ctx, kind, after, wait)
-	s.recordResult(err)
-	return events, revision, asOf, err
+	return s.source().Poll(ctx, kind, after, wait)
 }
 
 type vmAddress struct {
@@ -239,6 +239,9 @@
 	}
 }
 
+// PollTimes implements discovery.Source.
+func (r relaySource) PollTimes() (wait, slack time.Duration) { return relayPollWait, relayPollSlack }
+
 // recordFailure records the time of a failed read.
 func (r relaySource) recordFailure(kind string) {
 	r.node.relayFailedAt.Store(relayKey{kind, r.link}, bootclock.Now())
