discovery: polls of the store are shorter, for a margin on busy machines

TestSilentWatchIsNoticedInTime has a bound of 1 s, half of the shortest drain_ms. A silent watch was noticed after 0.85 s at most, and the list that follows has to come back in the rest. Polls wait for 0.4 s now and count as silent 0.3 s later: 0.7 s.

--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -20,9 +20,9 @@
 const (
 	// storePollWait is how long a poll of the store waits for changes. It bounds the age of the last confirmation while nothing changes, and with
 	// storePollSlack the time in which changes don't arrive because a watch has gone silent.
-	storePollWait = 500 * time.Millisecond
+	storePollWait = 400 * time.Millisecond
 	// storePollSlack is how much longer than it waits a poll of the store may take before its connection counts as unresponsive.
-	storePollSlack = 350 * time.Millisecond
+	storePollSlack = 300 * time.Millisecond
 	// listTimeout bounds one list call.
 	listTimeout = 1200 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the random delay after a failed call.
