ingress, node: a stream goes on only at the software version that began it

Cause: nothing in the code knew the version of an endpoint's software, and Resumes was never read. Every choice of another endpoint took any that was free.

Change: one rule, continuation.Origin, which all choices of endpoints ask through placement.Filter: retries, resumes, hedges of silent endpoints, plans made ahead, replaced decode engines. Prefilled and fetched KV caches stay within a version too. Where a stream that a caller takes up began, a VM knows from what it has seen itself; from the service, if that has had one version only; or from the other VMs: while a service has several, the VM that passes on a first event tells three others before. The store keeps which versions a service had (one write a version) and, while several serve, the streams of the last 15 s (two VMs write at most ten times a second), so that the VMs know them after all of them were killed. A version that isn't known is never guessed: the take-up is refused with 503 at once and hasn't run, with the remedy to begin again. So is one whose version has no endpoint left.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -3,6 +3,7 @@
 package catalog
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
@@ -55,6 +56,11 @@
 	return r.Semantics == Idempotent || r.Semantics == Stream && r.Resumable
 }
 
+// HasService reports whether the route has a service.
+func (r *Route) HasService(name string) bool {
+	return slices.ContainsFunc(r.WeightedServices, func(s WeightedService) bool { return s.Service == name })
+}
+
 // PickService returns the service for a request by weight, given a number in [0,1). It returns "" when the route has no services.
 func (r *Route) PickService(fraction float64) string {
 	total := 0
--- a/internal/catalog/endpoint.go
+++ b/internal/catalog/endpoint.go
@@ -27,6 +27,8 @@
 	Models []string
 	// Reclaimable is set for cheap endpoints that the provider may take back at short notice.
 	Reclaimable bool
+	// SoftwareVersion is the version of the endpoint's software, not of its models; empty if unknown.
+	SoftwareVersion string
 	// StartedAtMS is the start time of the endpoint in Unix milliseconds. It distinguishes successive endpoints with the same id.
 	StartedAtMS int64
 }
--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -149,7 +149,7 @@
 		r.endpoints, r.versions = make(map[string]catalog.Endpoint), make(map[string]uint64)
 	}
 	if !known || old.Draining != e.Draining || old.Role != e.Role || old.StartedAtMS != e.StartedAtMS {
-		r.Log.Info().Str("endpoint", name).Str("service", e.Service).Str("domain", e.FailureDomain).Bool("leaving", e.Draining).
+		r.Log.Info().Str("endpoint", name).Str("service", e.Service).Str("domain", e.FailureDomain).Str("software_version", e.SoftwareVersion).Bool("leaving", e.Draining).
 			Str("engine_role", string(e.Role)).Bool("reclaimable", e.Reclaimable).Uint64("revision", ev.Revision).Msg("endpoint changed")
 	}
 	r.setLocked(name, e, ev.Object.Version)
--- a/internal/enginemodel/policies_test.go
+++ b/internal/enginemodel/policies_test.go
@@ -53,7 +53,7 @@
 		if limited {
 			p.MaxWait, p.MaxTimeToFirstToken = placement.MaxWait(maxObjective, p.priority), p.deadline
 		}
-		plan := views[vm].PlacePrompt("llm", &p.Prompt, nil)
+		plan := views[vm].PlacePrompt("llm", &p.Prompt, placement.Filter{})
 		if plan.LimitExcess > 0 {
 			return &route{retryAfter: minRetryAfter + plan.LimitExcess}
 		}
--- a/internal/ingress/call_test.go
+++ b/internal/ingress/call_test.go
@@ -57,7 +57,7 @@
 	cancel()
 	for _, sent := range []bool{false, true} {
 		c := &call{ctx: ended, r: &Request{}, route: &catalog.Route{Attempts: 1}}
-		c.recordFailure(fleet.PlaceCall("app", nil), &upstream.SendError{MaySent: sent, Err: errors.New("connect")})
+		c.recordFailure(fleet.PlaceCall("app", placement.Filter{}), &upstream.SendError{MaySent: sent, Err: errors.New("connect")})
 		if c.mayHaveRun != sent {
 			t.Errorf("bytes sent: %v, may have run: %v", sent, c.mayHaveRun)
 		}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -16,6 +16,7 @@
 	"crocusglade.example/crocusglade/internal/bootclock"
 	"crocusglade.example/crocusglade/internal/buffer"
 	"crocusglade.example/crocusglade/internal/catalog"
+	"crocusglade.example/crocusglade/internal/continuation"
 	"crocusglade.example/crocusglade/internal/ctxtime"
 	"crocusglade.example/crocusglade/internal/placement"
 	"crocusglade.example/crocusglade/internal/retry"
@@ -39,6 +40,8 @@
 	Timeout time.Duration
 	// ResumeAfter is the id of the last event that the caller received of an earlier response; empty for none.
 	ResumeAfter string
+	// Resumes is the ID of the request that brought the first event of that response; empty if the caller didn't send it.
+	Resumes string
 	// Prompt is nil for requests without a prompt description.
 	Prompt *placement.Prompt
 	// Arrived is when the request's header was received.
@@ -139,6 +142,8 @@
 	Budget     RetryBudget
 	Quarantine *retry.Quarantine
 	Quota      QuotaLimiter
+	// Streams knows where streams began; nil for a server without other VMs.
+	Streams Streams
 	// Parts blocks requests with prompt parts that crash engines.
 	Parts   *retry.PartQuarantine
 	Log     zerolog.Logger
@@ -193,6 +198,9 @@
 	if c.MaxBufferedBytes == 0 {
 		c.MaxBufferedBytes = buffer.DefaultMax
 	}
+	if c.Streams == nil {
+		c.Streams = continuation.NewTracker()
+	}
 	return &Server{Config: c, bufferMemory: buffer.NewMemory(c.MaxBufferedBytes), started: time.Now(), pauseWaitShare: maxPauseWaitShare}
 }
 
@@ -246,6 +254,8 @@
 	// mayHaveRun is set once an endpoint may have started to run the request.
 	mayHaveRun   bool
 	usageCounted bool
+	// origin is where the stream began that the request takes up, or that has begun in the response; the zero value before.
+	origin continuation.Origin
 	// openExchanges counts the exchanges in progress. standby is the silent one that the current one is to replace; nil for none.
 	openExchanges int
 	standby       *exchange
@@ -375,6 +385,9 @@
 		return refusal, retryAfter
 	}
 	c.service = c.route.PickService(c.nextPick())
+	if refusal, retryAfter := c.takeUp(); refusal != nil {
+		return refusal, retryAfter
+	}
 	c.deadline = c.r.Arrived.Add(c.timeLimit())
 	c.fingerprint = retry.Fingerprint(c.team, c.route.Name+"\x00"+c.r.Target, c.r.Body)
 	if c.Quarantine.Blocked(c.fingerprint) {
@@ -529,6 +542,8 @@
 		c.refuse(apierror.New(apierror.OutcomeUnknown, "check whether the request took effect before you send it again", "%s", reason).WithExecution(apierror.ExecutionUnknown), 0)
 	case blocked:
 		c.refuse(errCrashingPart(), blockedFor)
+	case c.cannotGoOn():
+		c.refuse(apierror.New(apierror.Unavailable, remedyBeginAgain, "no endpoint of the software version that began the stream is left"), 0)
 	case c.freeAfter > 0:
 		c.refuse(apierror.New(apierror.Unavailable, "retry after the given time, or use another address", "the endpoints asked for a pause"), c.freeAfter)
 	default:
--- a/internal/ingress/pause.go
+++ b/internal/ingress/pause.go
@@ -23,7 +23,7 @@
 	if c.r.Prompt != nil {
 		model = c.r.Prompt.Model
 	}
-	wait, ok := c.Fleet.NextFree(c.service, model, c.excluded)
+	wait, ok := c.Fleet.NextFree(c.service, model, c.filter())
 	if unavailable := c.Fleet.DescribeUnavailable(c.service); unavailable != "" {
 		c.unavailable = unavailable
 	}
--- a/internal/ingress/plain.go
+++ b/internal/ingress/plain.go
@@ -42,7 +42,7 @@
 		if !c.canDispatch() || c.ctx.Err() != nil {
 			break
 		}
-		attempt := c.Fleet.PlaceCall(c.service, c.excluded)
+		attempt := c.Fleet.PlaceCall(c.service, c.filter())
 		if attempt == nil && c.awaitFreeEndpoint() {
 			continue
 		}
@@ -88,7 +88,7 @@
 	var other *plainResponse
 	var otherRetryable bool
 	p, replaced := c.receive(x, func() error { return c.plainStall(x) }, func() *candidate {
-		next := c.Fleet.PlaceCall(c.service, c.excluded)
+		next := c.Fleet.PlaceCall(c.service, c.filter())
 		if next == nil {
 			return nil
 		}
--- a/internal/ingress/silence_test.go
+++ b/internal/ingress/silence_test.go
@@ -143,7 +143,7 @@
 	t.Helper()
 	fleet := placement.New("z", placement.DefaultWeights)
 	fleet.SetServices(map[string]catalog.Service{"llm": {Name: "llm"}})
-	fleet.SetEndpoints([]catalog.Endpoint{{ID: "a", Service: "llm", FailureDomain: "z", Slots: 100}, {ID: "b", Service: "llm", FailureDomain: "far", Slots: 100}})
+	fleet.SetEndpoints([]catalog.Endpoint{{ID: "a", Service: "llm", SoftwareVersion: "1", FailureDomain: "z", Slots: 100}, {ID: "b", Service: "llm", SoftwareVersion: "1", FailureDomain: "far", Slots: 100}})
 	holder := &catalog.Holder{}
 	route := func(prefix string, semantics catalog.Semantics, resumable bool) catalog.Route {
 		return catalog.Route{Name: prefix, Host: "h", PathPrefix: prefix, Semantics: semantics, Resumable: resumable, Attempts: 2,
--- a/internal/ingress/stall.go
+++ b/internal/ingress/stall.go
@@ -176,7 +176,7 @@
 	if c.r.Prompt != nil {
 		model = c.r.Prompt.Model
 	}
-	return c.Budget.RetryAvailable(c.service) && c.Fleet.HasOtherEndpoint(c.service, model, e.ID, c.excluded)
+	return c.Budget.RetryAvailable(c.service) && c.Fleet.HasOtherEndpoint(c.service, model, e.ID, c.filter())
 }
 
 // probeSilent probes the endpoint of a silent exchange once, unless it sends data on other connections.
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -83,16 +83,22 @@
 	c.endUnservedStream(st)
 }
 
-// takeNextPlan returns the plan that was made for the next attempt, or nil if there is none.
+// takeNextPlan returns the plan that was made for the next attempt, or nil if there is none. The stream may have begun since it was made, and then
+// goes on only at some endpoints.
 func (c *call) takeNextPlan() *placement.Plan {
 	plan := c.nextPlan
 	c.nextPlan = nil
+	if plan != nil && !plan.Allows(placement.Filter{Origin: c.filter().Origin}) {
+		plan.Abandon()
+		return nil
+	}
 	return plan
 }
 
 func (c *call) abandonNextPlan() {
-	if plan := c.takeNextPlan(); plan != nil {
-		plan.Abandon()
+	if c.nextPlan != nil {
+		c.nextPlan.Abandon()
+		c.nextPlan = nil
 	}
 }
 
@@ -119,10 +125,10 @@
 // placeStream selects the endpoints for the next attempt. It returns nil if none accepts the request.
 func (c *call) placeStream(st *streamState) *placement.Plan {
 	if !c.hasPrompt() {
-		return c.Fleet.PlaceStream(c.service, c.excluded)
+		return c.Fleet.PlaceStream(c.service, c.filter())
 	}
 	c.setWaitLimits(st)
-	return c.Fleet.PlacePrompt(c.service, c.r.Prompt, c.excluded)
+	return c.Fleet.PlacePrompt(c.service, c.r.Prompt, c.filter())
 }
 
 // setWaitLimits sets the prompt's limits for the queueing time and the time to the first token. A stream that is being resumed has no
@@ -163,7 +169,7 @@
 			c.freeHandle(handle)
 			return false, false
 		}
-		if !c.Fleet.ReplaceDecodeEngine(plan, c.r.Prompt, c.excluded) {
+		if !c.Fleet.ReplaceDecodeEngine(plan, c.r.Prompt, c.filter()) {
 			plan.Decode.Done(placement.Abandoned)
 			c.freeHandle(handle)
 			return false, true
@@ -175,7 +181,7 @@
 			return done, retryable
 		}
 		// The KV cache has not been transferred, so another decode engine can use the handle.
-		if c.dispatches >= maxDispatches || !c.takeRetry(c.detail) || !c.Fleet.ReplaceDecodeEngine(plan, c.r.Prompt, c.excluded) {
+		if c.dispatches >= maxDispatches || !c.takeRetry(c.detail) || !c.Fleet.ReplaceDecodeEngine(plan, c.r.Prompt, c.filter()) {
 			c.freeHandle(handle)
 			return false, false
 		}
@@ -374,7 +380,7 @@
 		err = errIncompleteStream
 	}
 	if len(p.bytes) > 0 || err == io.EOF {
-		forwardErr := c.forward(st, &p)
+		forwardErr := c.forward(st, &p, &attempt.Endpoint)
 		switch {
 		case errors.Is(forwardErr, errNotResumed):
 			err = forwardErr
@@ -436,14 +442,14 @@
 // forward sends a part of the response to the caller. For resumable streams it holds complete events, so that another endpoint can continue
 // after the last one; forward returns errNotResumed if the events don't follow those that the caller has, and errWentOn if the silent endpoint
 // went on that the stream's engine was to replace.
-func (c *call) forward(st *streamState, p *part) error {
+func (c *call) forward(st *streamState, p *part, e *catalog.Endpoint) error {
 	if c.route.Resumable && len(p.bytes) > 0 && !c.acceptsNext(st, p.bytes) {
 		return errNotResumed
 	}
 	if !c.adopt() {
 		return errWentOn
 	}
-	c.startStream(st, p.answer)
+	c.startStream(st, p.answer, e)
 	if len(p.bytes) == 0 {
 		return nil
 	}
@@ -456,12 +462,13 @@
 	return nil
 }
 
-// startStream sends the header of the stream to the caller. Later calls have no effect.
-func (c *call) startStream(st *streamState, a *Answer) {
+// startStream sends the header of the stream to the caller, and records where the stream began. Later calls have no effect.
+func (c *call) startStream(st *streamState, a *Answer, e *catalog.Endpoint) {
 	if st.started {
 		return
 	}
 	st.started = true
+	c.begin(e)
 	c.firstResponseAfter = time.Since(c.r.Arrived)
 	c.w.StartStream(a.Status, a.Header)
 }
--- a/internal/ingress/takeover_test.go
+++ b/internal/ingress/takeover_test.go
@@ -183,9 +183,9 @@
 func newTakeoverServer(b Backend, ids []string, attempts int) *Server {
 	fleet := placement.New("z", placement.DefaultWeights)
 	fleet.SetServices(map[string]catalog.Service{"llm": {Name: "llm"}})
-	endpoints := []catalog.Endpoint{{ID: ids[0], Service: "llm", FailureDomain: "z", Slots: 100}}
+	endpoints := []catalog.Endpoint{{ID: ids[0], Service: "llm", SoftwareVersion: "1", FailureDomain: "z", Slots: 100}}
 	for _, id := range ids[1:] {
-		endpoints = append(endpoints, catalog.Endpoint{ID: id, Service: "llm", FailureDomain: "far", Slots: 100})
+		endpoints = append(endpoints, catalog.Endpoint{ID: id, Service: "llm", SoftwareVersion: "1", FailureDomain: "far", Slots: 100})
 	}
 	fleet.SetEndpoints(endpoints)
 	holder := &catalog.Holder{}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -140,6 +140,7 @@
 		return c.JSON(http.StatusOK, catalogResponse{Revision: current.Revision, AgeMS: bootclock.Since(confirmedAt).Milliseconds() + 1, Raw: current.Raw})
 	})
 	e.GET(relayPath+":kind", n.serveRelay)
+	e.GET(streamsPath+":key", n.serveStream)
 	e.GET(cachedPartsPath, n.serveCachedParts)
 	e.GET(ledgerPath, func(c echo.Context) error { return c.JSON(http.StatusOK, n.ledger.Copy(n.incarnation, n.meter)) })
 	return e
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"crocusglade.example/crocusglade/internal/buffer"
 	"crocusglade.example/crocusglade/internal/callerlimit"
 	"crocusglade.example/crocusglade/internal/catalog"
+	"crocusglade.example/crocusglade/internal/continuation"
 	"crocusglade.example/crocusglade/internal/daemon"
 	"crocusglade.example/crocusglade/internal/discovery"
 	"crocusglade.example/crocusglade/internal/ingress"
@@ -44,6 +45,8 @@
 // Kinds holds the kinds of the objects in the store, and the name of the configuration object.
 type Kinds struct {
 	Config, ConfigName, Endpoints, VMs string
+	// Records is the kind of the records that VMs keep for each other.
+	Records string
 }
 
 // Adapter holds the platform-specific parts of a node.
@@ -101,6 +104,7 @@
 	server        *ingress.Server
 	retryBudget   *retry.WindowBudget
 	quotas        *quota.Limiter
+	streams       *continuation.Tracker
 	// vmsListed is set once the store has listed the VMs.
 	vmsListed   atomic.Bool
 	bounds      atomic.Pointer[ingress.Bounds]
@@ -141,11 +145,13 @@
 	if err != nil {
 		return nil, err
 	}
+	n.streams = continuation.NewTracker()
+	n.streams.Peers, n.streams.ListAge, n.streams.Log, n.streams.OnTakeUp = streamPeers{n}, n.registry.Age, n.log, requestMetrics.StreamTakenUp
 	n.quotas = newQuotaLimiter(quotaObserver{metrics: requestMetrics, log: n.log})
 	quarantine, parts := retry.NewQuarantine(quarantineDuration), retry.NewPartQuarantine(bootclock.NowAsTime)
 	n.link = vmlink.New(vmlink.Config{VM: s.VM, Incarnation: n.incarnation, Domain: s.FailureDomain, CallerAddress: s.CallerListenAddress,
 		LinkAddress: n.linkAddress(s.IP), LinkMbps: s.LinkMbps, Catalog: n.catalogHolder, Fleet: n.fleet, Meter: n.meter, Ledger: n.ledger, Quarantine: quarantine, Parts: parts,
-		MedianClock: n.medianClock, Quota: n.quotas, Entries: entryExchange{n}, Watches: n.watchStatus, FetchCatalog: n.fetchCatalog, Log: n.log})
+		MedianClock: n.medianClock, Quota: n.quotas, Entries: entryExchange{n}, Streams: n.streams, KeepsAllStreams: n.mayWriteJournal, Watches: n.watchStatus, FetchCatalog: n.fetchCatalog, Log: n.log})
 	n.retryBudget = retry.NewWindowBudget(s.RetryRatio*retryBudgetFraction, s.RetrySlack*retryBudgetFraction, s.RetryWindow)
 	n.bounds.Store(&ingress.Bounds{RevokeBound: s.RevokeBound, ApplyBound: s.ApplyBound})
 	if err := t.ObserveExchange(n.link.OmittedReads, n.incompleteWindows.Load); err != nil {
@@ -164,7 +170,7 @@
 		n.log.Warn().Str("service", c.Part.Service).EmbedObject(c).Msg("prompt part that crashes engines")
 	})
 	n.server = ingress.New(ingress.Config{Catalog: n.catalogHolder, Fleet: n.fleet, Backend: a.Backend, Usage: n.meter,
-		Budget: n.retryBudget, Quarantine: quarantine, Quota: n.quotas, Parts: parts, Log: n.log, Observe: requestMetrics, OnMisdirected: n.link.AnnounceUnavailableEndpoint,
+		Budget: n.retryBudget, Quarantine: quarantine, Quota: n.quotas, Streams: n.streams, Parts: parts, Log: n.log, Observe: requestMetrics, OnMisdirected: n.link.AnnounceUnavailableEndpoint,
 		MaxBufferedBytes: bufferLimit(s.MemoryMB),
 		Ready:            func() bool { return n.catalogHolder.Current() != nil && n.registry.HasSynced() },
 		EndpointsAge:     n.registry.Age, ConnectDelay: n.Upstream.ConnectDelay,
@@ -215,6 +221,7 @@
 		{Name: "endpoints", Run: n.newWatcher(n.Kinds.Endpoints, n.registry.ReplaceEntries, n.registry.ApplyEvents).Run},
 		{Name: "vms", Run: n.maintainRegistration},
 		{Name: "link", Run: n.link.Run},
+		{Name: "software versions", Run: n.maintainStreamRecords},
 		withoutDrain(daemon.VMServerComponent("link catalog", n.linkAddress(n.IP), n.linkHandler(), n.telemetry)),
 		withoutDrain(daemon.HTTPServerComponent("ready", n.Settings.ReadinessListenAddress, nil, n.Adapter.NewReadinessHandler(n.ready), n.telemetry)),
 		withoutDrain(daemon.HTTPServerComponent("directory", n.Settings.DirectoryListenAddress, nil, n.Adapter.NewDirectoryHandler(n.addresses), n.telemetry)),
@@ -292,6 +299,7 @@
 
 // onEndpointsChanged passes the endpoints to placement, and closes idle connections to addresses that are no longer used.
 func (n *Node) onEndpointsChanged(list []catalog.Endpoint) {
+	n.streams.SetEndpoints(list)
 	for _, address := range n.fleet.SetEndpoints(list) {
 		n.Upstream.CloseIdleConns(address)
 	}
--- /dev/null
+++ b/internal/node/streams.go
@@ -0,0 +1,67 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+
+	"github.com/labstack/echo/v4"
+
+	"crocusglade.example/crocusglade/internal/continuation"
+)
+
+const (
+	// streamsPath is the path at which a VM tells others what it knows of a stream.
+	streamsPath = "/streams/"
+	// maxAskedVMs is the number of VMs that are asked for a stream: those that keep it, and some that kept it while others were not live.
+	maxAskedVMs = 5
+)
+
+// streamPeers implements continuation.Peers.
+type streamPeers struct{ node *Node }
+
+// Tell implements continuation.Peers.
+func (p streamPeers) Tell(streams []continuation.Stream) { p.node.link.TellStreams(streams) }
+
+// AnnounceVersions implements continuation.Peers.
+func (p streamPeers) AnnounceVersions() { p.node.link.AnnounceStatus() }
+
+// Alone implements continuation.Peers.
+func (p streamPeers) Alone() bool { return p.node.link.KnownVMs() <= 1 }
+
+// Ask implements continuation.Peers.
+func (p streamPeers) Ask(ctx context.Context, service string, k continuation.Key) []continuation.Reply {
+	links := p.node.link.StreamKeepers(k, maxAskedVMs)
+	path := streamsPath + strconv.FormatUint(uint64(k), 16) + "?" + url.Values{"service": {service}}.Encode()
+	replies := make([]*continuation.Reply, len(links))
+	var calls sync.WaitGroup
+	for i, link := range links {
+		calls.Go(func() {
+			var r continuation.Reply
+			if err := getFromVM(ctx, link, path, &r); err != nil {
+				p.node.log.Warn().Err(err).Msg("asking a VM for a stream failed")
+				return
+			}
+			replies[i] = &r
+		})
+	}
+	calls.Wait()
+	var list []continuation.Reply
+	for _, r := range replies {
+		if r != nil {
+			list = append(list, *r)
+		}
+	}
+	return list
+}
+
+// serveStream tells another VM what this VM knows of a stream.
+func (n *Node) serveStream(c echo.Context) error {
+	key, err := strconv.ParseUint(c.Param("key"), 16, 64)
+	if err != nil {
+		return c.NoContent(http.StatusBadRequest)
+	}
+	return c.JSON(http.StatusOK, n.streams.Reply(c.QueryParam("service"), continuation.Key(key)))
+}
--- a/internal/placement/attempt.go
+++ b/internal/placement/attempt.go
@@ -87,23 +87,31 @@
 	return plan
 }
 
-// ReplaceDecodeEngine replaces the plan's decode engine if it stopped accepting work while the prompt was prefilled on another
-// engine. It returns false if no engine accepts work.
-func (f *Fleet) ReplaceDecodeEngine(plan *Plan, p *Prompt, exclude map[string]bool) bool {
+// Allows reports whether all engines of the plan are still allowed.
+func (p *Plan) Allows(filter Filter) bool {
+	return filter.allows(p.Decode.target) && (p.Prefill == nil || filter.allows(p.Prefill.target))
+}
+
+// ReplaceDecodeEngine replaces the plan's decode engine if it stopped accepting work, or the filter allows it no more, while the prompt was
+// prefilled on another engine. It returns false if no engine accepts work that can use the prefilled KV cache.
+func (f *Fleet) ReplaceDecodeEngine(plan *Plan, p *Prompt, filter Filter) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	old := plan.Decode.target
 	now := time.Now()
-	if current := f.endpoints[old.ID]; current == old && old.accepts(now) && !old.ejected(now) {
+	if current := f.endpoints[old.ID]; current == old && old.accepts(now) && !old.ejected(now) && filter.allows(old) {
 		return true
 	}
 	s := f.services[old.Service]
-	_, decodeEngines := f.eligibleEngines(old.Service, p.Model, exclude)
-	if s == nil || len(decodeEngines) == 0 {
+	_, decodeEngines := f.eligibleEngines(old.Service, p.Model, filter)
+	if s == nil {
 		return false
 	}
-	plan.Decode.doneLocked(Abandoned)
 	selected, _, _ := f.selectDecodeEngine(s, p, plan.Prefill.target, decodeEngines)
+	if selected == nil {
+		return false
+	}
+	plan.Decode.doneLocked(Abandoned)
 	plan.Decode = f.startAttempt(selected, 0, false)
 	return true
 }
--- a/internal/placement/correction_test.go
+++ b/internal/placement/correction_test.go
@@ -9,7 +9,7 @@
 // serveDelayed serves prompts whose first tokens arrive later than predicted by a delay, as during a burst of engine crashes.
 func serveDelayed(f *Fleet, prompts int, delay time.Duration) {
 	for range prompts {
-		plan := f.PlacePrompt("llm", promptWithPrefix("", 0, 40_000), nil)
+		plan := f.PlacePrompt("llm", promptWithPrefix("", 0, 40_000), Filter{})
 		time.Sleep(plan.Predicted + delay)
 		plan.RecordFirstToken()
 		if plan.Prefill != nil {
@@ -33,7 +33,7 @@
 		f := testFleet(0, 3)
 		serveDelayed(f, 200, time.Second)
 		time.Sleep(3 * time.Second)
-		if plan := f.PlacePrompt("llm", promptWithMaxWait(), nil); plan.LimitExcess > 0 {
+		if plan := f.PlacePrompt("llm", promptWithMaxWait(), Filter{}); plan.LimitExcess > 0 {
 			t.Errorf("idle engines refuse a prompt 3 s after the last delayed one: predicted %v, limit exceeded by %v", plan.Predicted, plan.LimitExcess)
 		}
 	})
@@ -45,12 +45,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := testFleet(0, 1)
 		for range 300 {
-			plan := f.PlacePrompt("llm", promptWithPrefix("", 0, 10), nil)
+			plan := f.PlacePrompt("llm", promptWithPrefix("", 0, 10), Filter{})
 			time.Sleep(milliseconds(plan.estimate) + 100*time.Millisecond)
 			plan.RecordFirstToken()
 			plan.Decode.Done(Served)
 		}
-		plan := f.PlacePrompt("llm", promptWithPrefix("", 0, 10), nil)
+		plan := f.PlacePrompt("llm", promptWithPrefix("", 0, 10), Filter{})
 		if added := plan.Predicted - milliseconds(plan.estimate); added < 90*time.Millisecond {
 			t.Errorf("first tokens arrive 100 ms later than estimated, but the prediction adds only %v", added)
 		}
--- a/internal/placement/notice.go
+++ b/internal/placement/notice.go
@@ -171,9 +171,9 @@
 	return e.ownWork.Running < rampStart+int(float64(max(e.Slots, 1))*elapsed.Seconds()/rampTime.Seconds())
 }
 
-// NextFree returns the time until an endpoint of a service can run a request, 0 if one can now. It returns false if there is none apart
-// from those in exclude and those that leave.
-func (f *Fleet) NextFree(service, model string, exclude map[string]bool) (time.Duration, bool) {
+// NextFree returns the time until an endpoint of a service can run a request, 0 if one can now. It returns false if the filter
+// allows none apart from those that leave.
+func (f *Fleet) NextFree(service, model string, filter Filter) (time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now, best, found := time.Now(), time.Duration(0), false
@@ -181,7 +181,7 @@
 		return 0, false
 	}
 	for _, e := range f.ordered {
-		if e.Service != service || e.Role == catalog.Prefill || e.Draining || exclude[e.ID] || !e.HasModel(model) {
+		if e.Service != service || e.Role == catalog.Prefill || e.Draining || !filter.allows(e) || !e.HasModel(model) {
 			continue
 		}
 		wait := max(e.notices.notBefore.Sub(now), 0)
--- a/internal/placement/notice_test.go
+++ b/internal/placement/notice_test.go
@@ -104,8 +104,8 @@
 			rested := m.notBefore.IsZero() || time.Since(m.notBefore) >= rampTime
 			want = want || listed[n] && !draining[n] && !m.leaving && rested
 		}
-		wait, free := f.NextFree("app", "", nil)
-		a := f.PlaceCall("app", nil)
+		wait, free := f.NextFree("app", "", Filter{})
+		a := f.PlaceCall("app", Filter{})
 		if a == nil {
 			if want || free && wait == 0 {
 				return fmt.Sprintf("no endpoint was selected although one accepts work (free %v in %v)", free, wait)
@@ -138,14 +138,14 @@
 		f.RecordNotice(&e, Notice{Pause: time.Second})
 		time.Sleep(time.Second)
 		for elapsed, want := range []int{rampStart, rampStart + 5, rampStart + 10, rampStart + 15} {
-			for f.PlaceCall("app", nil) != nil {
+			for f.PlaceCall("app", Filter{}) != nil {
 			}
 			if got := f.endpoints["a"].ownWork.Running; got != want {
 				t.Errorf("%d ms after the pause %d requests are in progress, want %d", elapsed*250, got, want)
 			}
 			time.Sleep(rampTime / 4)
 		}
-		if f.PlaceCall("app", nil) == nil {
+		if f.PlaceCall("app", Filter{}) == nil {
 			t.Error("the limit still holds after the ramp")
 		}
 	})
@@ -158,7 +158,7 @@
 		f.SetServices(map[string]catalog.Service{"app": {Name: "app"}})
 		f.SetEndpoints([]catalog.Endpoint{{ID: "a", Service: "app", Slots: 4}})
 		for range 2 * failuresToEject {
-			a := f.PlaceCall("app", nil)
+			a := f.PlaceCall("app", Filter{})
 			f.RecordNotice(&a.Endpoint, Notice{Pause: time.Second})
 			a.Done(Refused)
 			if list := f.Endpoints("app"); len(list) != 1 || list[0].Draining {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -36,14 +36,14 @@
 func TestSharedPartIsPrefilledOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := testFleet(2, 3)
-		first := f.PlacePrompt("llm", promptWithPrefix("s", 13000, 3000), nil)
+		first := f.PlacePrompt("llm", promptWithPrefix("s", 13000, 3000), Filter{})
 		if first == nil || first.Prefill == nil || first.Prefill.PrefillTokens != 16000 {
 			t.Fatalf("first plan %+v, want a split plan that prefills 16000 tokens", first)
 		}
 		time.Sleep(time.Second)
 		first.Prefill.Done(Served)
 		first.Decode.Done(Served)
-		second := f.PlacePrompt("llm", promptWithPrefix("s", 13000, 3000), nil)
+		second := f.PlacePrompt("llm", promptWithPrefix("s", 13000, 3000), Filter{})
 		attempt := second.Prefill
 		if attempt == nil {
 			attempt = second.Decode
@@ -58,8 +58,8 @@
 func TestPartBeingPrefilledIsNotFetched(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := testFleet(0, 2)
-		f.PlacePrompt("llm", promptWithPrefix("s", 13000, 3000), nil)
-		second := f.PlacePrompt("llm", promptWithPrefix("s", 13000, 3000), nil)
+		f.PlacePrompt("llm", promptWithPrefix("s", 13000, 3000), Filter{})
+		second := f.PlacePrompt("llm", promptWithPrefix("s", 13000, 3000), Filter{})
 		if second.Decode.FetchFrom != "" {
 			t.Errorf("plan fetches from %s", second.Decode.FetchFrom)
 		}
@@ -77,13 +77,13 @@
 		for range 5 {
 			p := promptWithPrefix("s", 100, 100)
 			p.Model = "m"
-			if got := f.PlacePrompt("llm", p, nil).Decode.Endpoint.ID; got != "d2" {
+			if got := f.PlacePrompt("llm", p, Filter{}).Decode.Endpoint.ID; got != "d2" {
 				t.Errorf("selected %s, want d2", got)
 			}
 		}
 		p := promptWithPrefix("s", 100, 100)
 		p.Model = "m"
-		if plan := f.PlacePrompt("llm", p, map[string]bool{"d2": true}); plan != nil {
+		if plan := f.PlacePrompt("llm", p, Filter{Excluded: map[string]bool{"d2": true}}); plan != nil {
 			t.Errorf("selected %s although no endpoint is eligible", plan.Decode.Endpoint.ID)
 		}
 	})
@@ -95,12 +95,12 @@
 		f := testFleet(0, 2)
 		f.Avoid("d0", time.Second)
 		for range 4 {
-			if got := f.PlacePrompt("llm", promptWithPrefix("s", 10, 10), nil).Decode.Endpoint.ID; got != "d1" {
+			if got := f.PlacePrompt("llm", promptWithPrefix("s", 10, 10), Filter{}).Decode.Endpoint.ID; got != "d1" {
 				t.Errorf("selected %s, want d1 because d0 is avoided", got)
 			}
 		}
 		f.Avoid("d1", time.Second)
-		if f.PlacePrompt("llm", promptWithPrefix("s", 10, 10), nil) == nil {
+		if f.PlacePrompt("llm", promptWithPrefix("s", 10, 10), Filter{}) == nil {
 			t.Error("no engine is selected while all are avoided")
 		}
 	})
@@ -112,7 +112,7 @@
 		f := testFleet(0, 2)
 		f.SetPeerWork("vm2", map[string]EndpointWork{"d0": {PrefillTokens: 500_000, Running: 30}}, nil)
 		for range 4 {
-			if got := f.PlacePrompt("llm", promptWithPrefix(fmt.Sprint(rand.Uint64()), 10, 10), nil).Decode.Endpoint.ID; got != "d1" {
+			if got := f.PlacePrompt("llm", promptWithPrefix(fmt.Sprint(rand.Uint64()), 10, 10), Filter{}).Decode.Endpoint.ID; got != "d1" {
 				t.Errorf("selected %s, which is busy with the work of another VM", got)
 			}
 		}
@@ -127,7 +127,7 @@
 func TestRestartedEndpointStartsWithoutWork(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := testFleet(0, 1)
-		plan := f.PlacePrompt("llm", promptWithPrefix("s", 1000, 1000), nil)
+		plan := f.PlacePrompt("llm", promptWithPrefix("s", 1000, 1000), Filter{})
 		list := f.Endpoints("llm")
 		list[0].StartedAtMS = 5
 		f.SetEndpoints(list)
@@ -212,7 +212,7 @@
 // Guards goodput when the load shifts to long prompts: the 95th percentile of the time to the first token must stay within the users'
 // limit of 0.34 s, and at most half as many shared tokens may be prefilled as with the baseline, least requests in flight.
 func TestShiftToLongPrompts(t *testing.T) {
-	p95, shared := simulateLongPrompts(t, func(f *Fleet, p *Prompt, _ int) *Plan { return f.PlacePrompt("llm", p, nil) })
+	p95, shared := simulateLongPrompts(t, func(f *Fleet, p *Prompt, _ int) *Plan { return f.PlacePrompt("llm", p, Filter{}) })
 	baselineP95, baselineShared := simulateLongPrompts(t, func(f *Fleet, p *Prompt, n int) *Plan {
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -242,7 +242,7 @@
 		f.SetEndpoints([]catalog.Endpoint{{ID: "good", Service: "app", Address: "g", FailureDomain: "z2", Slots: 6}, {ID: "grey", Service: "app", Address: "b", FailureDomain: "z1", Slots: 6}})
 		failed := 0
 		for range 200 {
-			a := f.PlaceCall("app", nil)
+			a := f.PlaceCall("app", Filter{})
 			outcome := Served
 			if a.Endpoint.ID == "grey" {
 				failed++
@@ -263,7 +263,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := testFleet(1, 2)
 		p := promptWithPrefix("s", 50_000, 10_000)
-		plan := f.PlacePrompt("llm", p, nil)
+		plan := f.PlacePrompt("llm", p, Filter{})
 		if plan.Prefill == nil {
 			t.Fatal("the plan has no prefill engine")
 		}
@@ -273,7 +273,7 @@
 			list[i].Draining = list[i].ID == chosen
 		}
 		f.SetEndpoints(list)
-		if !f.ReplaceDecodeEngine(plan, p, nil) || plan.Decode.Endpoint.ID == chosen {
+		if !f.ReplaceDecodeEngine(plan, p, Filter{}) || plan.Decode.Endpoint.ID == chosen {
 			t.Errorf("the prompt goes to %s, which is leaving", plan.Decode.Endpoint.ID)
 		}
 		if e := f.endpoints[chosen]; e.running() != 0 {
@@ -283,7 +283,7 @@
 			list[i].Draining = true
 		}
 		f.SetEndpoints(list)
-		if f.ReplaceDecodeEngine(plan, p, nil) {
+		if f.ReplaceDecodeEngine(plan, p, Filter{}) {
 			t.Error("an engine is selected although all are leaving")
 		}
 	})
@@ -328,7 +328,7 @@
 			n := 0
 			for b.Loop() {
 				n++
-				plan := f.PlacePrompt("llm", promptWithPrefix(fmt.Sprint("s", n%200), 13000, 3000), nil)
+				plan := f.PlacePrompt("llm", promptWithPrefix(fmt.Sprint("s", n%200), 13000, 3000), Filter{})
 				if plan.Prefill != nil {
 					plan.Prefill.Done(Served)
 				}
--- a/internal/placement/select.go
+++ b/internal/placement/select.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"crocusglade.example/crocusglade/internal/catalog"
+	"crocusglade.example/crocusglade/internal/continuation"
 )
 
 // Weights convert the costs of a plan other than latency into milliseconds, so that plans can be compared.
@@ -80,19 +81,19 @@
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
 // PlacePrompt selects the engines for a prompt and starts the attempts at them. It returns nil if no engine accepts the prompt.
-// Endpoints whose IDs are in exclude are not selected.
+// Only endpoints that the filter allows are selected.
 //
 // A prompt that would exceed its limits gets a plan without attempts that has LimitExcess set. Under overload this refuses only the
 // excess requests; without limits all requests would wait until their callers give up, and none would be served. MaxWait limits the
 // queueing time and not the whole time, so that long prompts are served like short ones.
-func (f *Fleet) PlacePrompt(service string, p *Prompt, exclude map[string]bool) *Plan {
+func (f *Fleet) PlacePrompt(service string, p *Prompt, filter Filter) *Plan {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.services[service]
 	if s == nil {
 		return nil
 	}
-	prefillEngines, decodeEngines := f.eligibleEngines(service, p.Model, exclude)
+	prefillEngines, decodeEngines := f.eligibleEngines(service, p.Model, filter)
 	if len(decodeEngines) == 0 {
 		return nil
 	}
@@ -110,12 +111,12 @@
 
 // eligibleEngines returns the engines of a service that accept work, by role. Endpoints without a role count as decode engines.
 // Ejected engines are included only if no other decode engine is left; those that leave or pause never are.
-func (f *Fleet) eligibleEngines(service, model string, exclude map[string]bool) (prefillEngines, decodeEngines []*endpoint) {
+func (f *Fleet) eligibleEngines(service, model string, filter Filter) (prefillEngines, decodeEngines []*endpoint) {
 	now := time.Now()
 	for _, healthyOnly := range []bool{true, false} {
 		prefillEngines, decodeEngines = nil, nil
 		for _, e := range f.ordered {
-			if e.Service != service || !e.acceptsMore(now) || exclude[e.ID] || !e.HasModel(model) || healthyOnly && e.ejected(now) {
+			if e.Service != service || !e.acceptsMore(now) || !filter.allows(e) || !e.HasModel(model) || healthyOnly && e.ejected(now) {
 				continue
 			}
 			if e.Role == catalog.Prefill {
@@ -131,13 +132,13 @@
 	return prefillEngines, decodeEngines
 }
 
-// HasOtherEndpoint reports whether a healthy endpoint other than id can run a request now. Endpoints whose IDs are in exclude don't count.
-func (f *Fleet) HasOtherEndpoint(service, model, id string, exclude map[string]bool) bool {
+// HasOtherEndpoint reports whether a healthy endpoint other than id that the filter allows can run a request now.
+func (f *Fleet) HasOtherEndpoint(service, model, id string, filter Filter) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
 	for _, e := range f.ordered {
-		if e.Service == service && e.ID != id && e.Role != catalog.Prefill && e.accepts(now) && !exclude[e.ID] && e.HasModel(model) && !e.ejected(now) {
+		if e.Service == service && e.ID != id && e.Role != catalog.Prefill && e.accepts(now) && filter.allows(e) && e.HasModel(model) && !e.ejected(now) {
 			return true
 		}
 	}
@@ -173,6 +174,9 @@
 		prefill, fetch, work := f.prefillTime(s, p, e, s.prefillRate, sources)
 		wait := e.prefillBacklog() / s.prefillRate
 		decodeEngine, transfer, gb := f.selectDecodeEngine(s, p, e, decodeEngines)
+		if decodeEngine == nil {
+			continue
+		}
 		o := &option{prefillEngine: e, decodeEngine: decodeEngine, prefillFetchFrom: work.fetchFrom, prefillTokens: work.tokens}
 		o.estimate = wait + fetch + prefill + transfer + hopCostMS + firstTokenOverheadMS
 		o.predicted, o.wait = o.estimate+correctionMS, wait+correctionMS
@@ -184,16 +188,17 @@
 	return best
 }
 
-// leastLoadedByDomain returns the decode engine with the least load in each failure domain. Within a domain the engines differ only in
-// their load: transfers to them take the same time.
+// leastLoadedByDomain returns the decode engine with the least load of each software version in each failure domain. Within a domain the engines
+// of a version differ only in their load: transfers to them take the same time.
 func leastLoadedByDomain(s *serviceState, decodeEngines []*endpoint) []*endpoint {
 	var least []*endpoint
 	index := make(map[string]int)
 	for _, e := range decodeEngines {
-		i, ok := index[e.FailureDomain]
+		group := e.FailureDomain + "\x00" + e.SoftwareVersion
+		i, ok := index[group]
 		switch {
 		case !ok:
-			index[e.FailureDomain] = len(least)
+			index[group] = len(least)
 			least = append(least, e)
 		case s.loadDelay(e) < s.loadDelay(least[i]):
 			least[i] = e
@@ -208,12 +213,15 @@
 	return float64(e.running()) + e.prefillBacklog()/(s.prefillRate/decodePrefillSlowdown)
 }
 
-// selectDecodeEngine selects the decode engine for a prompt that another engine prefills. It also returns the time in milliseconds to
+// selectDecodeEngine selects the decode engine for a prompt that another engine prefills, nil if none can use its KV cache. It also returns the time in milliseconds to
 // transfer the KV cache and the cache's size in GB.
 func (f *Fleet) selectDecodeEngine(s *serviceState, p *Prompt, prefillEngine *endpoint, decodeEngines []*endpoint) (best *endpoint, transferMS, gb float64) {
 	bestScore := 0.0
 	gb = float64(p.Tokens) * s.kvBytesPerToken() / 1e9
 	for _, e := range decodeEngines {
+		if !continuation.SharesCache(prefillEngine.SoftwareVersion, e.SoftwareVersion) {
+			continue
+		}
 		transfer := f.transferTime(s, p.Tokens, prefillEngine, e)
 		score := transfer + f.weights.TransferGB*gb + s.loadDelay(e)
 		if e.FailureDomain != f.domain {
@@ -241,7 +249,7 @@
 	tokens int
 }
 
-// fetchSources returns, for each failure domain, the engine that has the longest fetchable prefix of a prompt's shared parts.
+// fetchSources returns, for each failure domain and software version, the engine that has the longest fetchable prefix of a prompt's shared parts.
 func (f *Fleet) fetchSources(service string, p *Prompt) []fetchSource {
 	var best []fetchSource
 	index := make(map[string]int)
@@ -254,10 +262,11 @@
 		if tokens == 0 {
 			continue
 		}
-		i, ok := index[e.FailureDomain]
+		group := e.FailureDomain + "\x00" + e.SoftwareVersion
+		i, ok := index[group]
 		switch {
 		case !ok:
-			index[e.FailureDomain] = len(best)
+			index[group] = len(best)
 			best = append(best, fetchSource{e, tokens})
 		case tokens > best[i].tokens:
 			best[i] = fetchSource{e, tokens}
@@ -273,7 +282,7 @@
 	work.tokens = max(p.Tokens-cached, 0)
 	bestTokens := 0
 	for _, source := range sources {
-		if extra := source.tokens - cached; extra > bestTokens && source.endpoint != e {
+		if extra := source.tokens - cached; extra > bestTokens && source.endpoint != e && continuation.SharesCache(source.SoftwareVersion, e.SoftwareVersion) {
 			transfer := f.transferTime(s, extra, source.endpoint, e)
 			if transfer < float64(extra)/rate {
 				bestTokens, fetch, work.fetchFrom = extra, transfer, source.endpoint
@@ -316,10 +325,10 @@
 
 // PlaceCall selects an endpoint of a plain service, which has no engines, and starts an attempt at it. It returns nil if no endpoint
 // accepts work.
-func (f *Fleet) PlaceCall(service string, exclude map[string]bool) *Attempt {
+func (f *Fleet) PlaceCall(service string, filter Filter) *Attempt {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	_, candidates := f.eligibleEngines(service, "", exclude)
+	_, candidates := f.eligibleEngines(service, "", filter)
 	var best *endpoint
 	bestScore := 0.0
 	for _, e := range candidates {
@@ -342,8 +351,8 @@
 }
 
 // PlaceStream is like PlaceCall for a stream without a prompt. The plan has no prediction.
-func (f *Fleet) PlaceStream(service string, exclude map[string]bool) *Plan {
-	attempt := f.PlaceCall(service, exclude)
+func (f *Fleet) PlaceStream(service string, filter Filter) *Plan {
+	attempt := f.PlaceCall(service, filter)
 	if attempt == nil {
 		return nil
 	}
--- a/internal/placement/unreachable_test.go
+++ b/internal/placement/unreachable_test.go
@@ -15,7 +15,7 @@
 func selectedEngines(f *Fleet, prompts int) map[string]bool {
 	ids := make(map[string]bool)
 	for range prompts {
-		plan := f.PlacePrompt("llm", promptWithPrefix("", 0, 100), nil)
+		plan := f.PlacePrompt("llm", promptWithPrefix("", 0, 100), Filter{})
 		ids[plan.Decode.Endpoint.ID] = true
 		plan.Decode.Done(Abandoned)
 	}
@@ -51,7 +51,7 @@
 func TestOwnContactOverridesPeerReports(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := testFleet(0, 1)
-		running := f.PlacePrompt("llm", promptWithPrefix("", 0, 100), nil)
+		running := f.PlacePrompt("llm", promptWithPrefix("", 0, 100), Filter{})
 		f.SetPeerUnreachable("vm2", map[string]time.Duration{"d0": 100 * time.Millisecond})
 		f.SetPeerUnreachable("vm3", map[string]time.Duration{"d0": 100 * time.Millisecond})
 		running.Decode.RecordActivity()
@@ -66,7 +66,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := testFleet(0, 2)
 		f.SetPeerUnreachable("vm2", map[string]time.Duration{"d1": 0})
-		f.PlacePrompt("llm", promptWithPrefix("", 0, 100), map[string]bool{"d1": true}).Decode.Done(Unreachable)
+		f.PlacePrompt("llm", promptWithPrefix("", 0, 100), Filter{Excluded: map[string]bool{"d1": true}}).Decode.Done(Unreachable)
 		time.Sleep(10 * time.Millisecond)
 		if found := f.UnreachableEndpoints(); len(found) != 1 || found["d0"] != 10*time.Millisecond {
 			t.Errorf("reported %v, want d0 with an age of 10 ms", found)
@@ -87,7 +87,7 @@
 		f.Log = zerolog.New(&lines)
 		end := func(o Outcome, requests int) {
 			for range requests {
-				f.PlacePrompt("llm", promptWithPrefix("", 0, 100), nil).Decode.Done(o)
+				f.PlacePrompt("llm", promptWithPrefix("", 0, 100), Filter{}).Decode.Done(o)
 			}
 		}
 		end(Unreachable, 5)
--- a/internal/telemetry/requests.go
+++ b/internal/telemetry/requests.go
@@ -14,6 +14,7 @@
 	partRefused metric.Int64Counter
 	partBlocked metric.Int64Counter
 	notices     metric.Int64Counter
+	takenUp     metric.Int64Counter
 	waited      metric.Int64Counter
 	quotaCost   metric.Int64Counter
 	duration    metric.Float64Histogram
@@ -57,6 +58,7 @@
 		partRefused: b.counter("prompt_part_refused", "Requests refused because a part of their prompt crashes engines, by service."),
 		partBlocked: b.counter("prompt_part_changes", "Prompt parts that were blocked or released, by change."),
 		notices:     b.counter("endpoint_notices", "What endpoints said about themselves in responses, by kind: leaving, pause, invalid_pause."),
+		takenUp:     b.counter("streams_taken_up", "Streams that callers took up again, by service (empty if the route has several) and by how the software version that began them was known: own, sole_version, other_vm, none."),
 		waited:      b.counter("endpoint_pause_waits", "Requests that no endpoint could take because of pauses, by service and by what became of them: waited or refused."),
 		quotaCost:   b.counter("quota_cost", "Cost of requests of teams with a quota, by outcome: granted, refused, given_back."),
 		duration:    b.secondsHistogram("request_duration", "Time from the arrival of a request to its end."),
@@ -86,6 +88,11 @@
 	m.retried.Add(context.Background(), 1, labels("service", service))
 }
 
+// StreamTakenUp counts a stream that a caller takes up again.
+func (m *RequestMetrics) StreamTakenUp(service, source string) {
+	m.takenUp.Add(context.Background(), 1, labels("service", service, "source", source))
+}
+
 // PartRefused counts a request that was refused because a part of its prompt crashes engines.
 func (m *RequestMetrics) PartRefused(service string) {
 	m.partRefused.Add(context.Background(), 1, labels("service", service))
--- a/internal/vmlink/link.go
+++ b/internal/vmlink/link.go
@@ -61,6 +61,9 @@
 	MedianClock *MedianClock
 	Quota       QuotaExchange
 	Entries     EntryExchange
+	// KeepsAllStreams reports whether another VM has to know all streams.
+	KeepsAllStreams func(PeerStatus) bool
+	Streams         StreamExchange
 	// Watches returns how this VM follows the kinds of objects of the store, without those that it has not read yet.
 	Watches func() map[string]WatchStatus
 	// FetchCatalog fetches and applies the configuration of the VM at a link address. It is called when that VM has a newer one.
@@ -121,6 +124,8 @@
 	conn         net.PacketConn
 	// dutyToken is the fencing token of the duties lease while this VM holds it, 0 otherwise.
 	dutyToken uint64
+	// announcedAt is when AnnounceStatus last sent a message.
+	announcedAt time.Time
 	// omittedReads counts the prompt reads that were left out of messages, which were too large with them.
 	omittedReads atomic.Int64
 }
@@ -275,7 +280,7 @@
 	work, reads := l.Fleet.CollectWork()
 	parts := l.Parts.Report()
 	quotas := l.Quota.Report()
-	departures, watches := l.Entries.Departures(), l.Watches()
+	departures, watches, versions := l.Entries.Departures(), l.Watches(), l.Streams.SeenVersions()
 	if len(reads) > maxMessageReads {
 		reads = reads[len(reads)-maxMessageReads:]
 	}
@@ -283,7 +288,7 @@
 	defer l.mu.Unlock()
 	msg := &StatusMessage{VM: l.VM, Incarnation: l.Incarnation, Domain: l.Domain, Front: l.CallerAddress, Link: l.LinkAddress,
 		Draining: l.draining, DutyToken: l.dutyToken, Work: encodeWork(work), Reads: EncodeReads(reads), Demand: l.Fleet.MeasureDemand(),
-		Unreachable: encodeUnreachable(l.Fleet.UnreachableEndpoints()), ConfirmedMS: -1, Watches: watches, LinkMbps: l.LinkMbps}
+		Unreachable: encodeUnreachable(l.Fleet.UnreachableEndpoints()), ConfirmedMS: -1, Watches: watches, LinkMbps: l.LinkMbps, Versions: encodeVersions(versions)}
 	msg.encodeParts(parts)
 	msg.Quotas = encodeQuotas(quotas)
 	for _, e := range l.Fleet.LeavingEndpoints() {
@@ -336,6 +341,10 @@
 		l.receiveUsage(data, from)
 		return
 	}
+	if len(data) > 0 && data[0] == streamsDatagram {
+		l.receiveStreams(data, from)
+		return
+	}
 	var msg StatusMessage
 	if err := cbor.Unmarshal(data, &msg); err != nil {
 		l.Log.Warn().Str("from", from.String()).Err(err).Msg("decoding a datagram failed")
@@ -379,6 +388,7 @@
 	}
 	l.Entries.MergeDepartures(departures)
 	l.Parts.MergeReport(msg.decodeParts())
+	l.Streams.MergeSeenVersions(decodeVersions(msg.Versions))
 	l.Quota.MergeReport(msg.VM, msg.Incarnation, decodeQuotas(msg.Quotas))
 	l.handleConfirmation(ctx, &msg)
 }
--- a/internal/vmlink/message.go
+++ b/internal/vmlink/message.go
@@ -57,6 +57,8 @@
 	Watches map[string]WatchStatus `cbor:"27,keyasint,omitempty"`
 	// LinkMbps is the bandwidth of the sender's link in Mbit/s.
 	LinkMbps float64 `cbor:"28,keyasint,omitempty"`
+	// Versions holds the software versions of services that the sender has seen.
+	Versions []SoftwareVersion `cbor:"29,keyasint,omitempty"`
 	// Demand is the sender's demand for prompt processing by service, in tokens per second.
 	Demand map[string]float64 `cbor:"17,keyasint,omitempty"`
 	// Quotas reports the cost that the sender granted to teams with a quota; see quota.TeamReport.
--- a/internal/vmlink/vmlink_test.go
+++ b/internal/vmlink/vmlink_test.go
@@ -10,6 +10,7 @@
 
 	"crocusglade.example/crocusglade/internal/bootclock"
 	"crocusglade.example/crocusglade/internal/catalog"
+	"crocusglade.example/crocusglade/internal/continuation"
 	"crocusglade.example/crocusglade/internal/discovery"
 	"crocusglade.example/crocusglade/internal/metering"
 	"crocusglade.example/crocusglade/internal/placement"
@@ -26,6 +27,7 @@
 		Parts:       retry.NewPartQuarantine(bootclock.NowAsTime),
 		Watches:     func() map[string]WatchStatus { return nil },
 		Entries:     &discovery.Registry{Changed: func([]catalog.Endpoint) {}},
+		Streams:     continuation.NewTracker(),
 		Quota:       quota.New(quota.Config{Now: func() time.Duration { return time.Duration(bootclock.Now()) }}),
 		MedianClock: clock, FetchCatalog: func(context.Context, string) error { return nil }, Log: zerolog.Nop()})
 }
@@ -129,7 +131,7 @@
 		receiver.receive(t.Context(), data, nil)
 	}
 	for range 10 {
-		dispatch := receiver.Fleet.PlaceCall("app", nil)
+		dispatch := receiver.Fleet.PlaceCall("app", placement.Filter{})
 		if dispatch.Endpoint.ID != "b" {
 			t.Errorf("chose %s", dispatch.Endpoint.ID)
 		}
