gateway: a stream is continued only at engines of the software version that began it

Change: engines state software_version in their load reports, controllers pass it on, and the balancer asks the same rule (continuation.Origin). From the first byte on, all further attempts and migrations are limited to that version; an engine that reports none can't be continued at another one.

--- a/internal/apitypes/system.go
+++ b/internal/apitypes/system.go
@@ -114,6 +114,9 @@
 	DecodeRate  float64 `json:"decode_rate"`
 	// Instance identifies a run of the endpoint's process; it changes when the endpoint restarts.
 	Instance string `json:"instance,omitempty"`
+	// SoftwareVersion is the version of the engine's software, not of its model. A stream goes on only at engines of the version that began it, and
+	// nowhere if that is empty.
+	SoftwareVersion string `json:"software_version,omitempty"`
 	// AgeMS is the age of the figures, in milliseconds, when the report was sent.
 	AgeMS int64 `json:"age_ms"`
 	// Changing is true while the endpoint applies an order.
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"crocusglade.example/crocusglade/internal/apitypes"
+	"crocusglade.example/crocusglade/internal/continuation"
 )
 
 // Request holds the properties of a request that determine which endpoints can serve it and how fast.
@@ -20,6 +21,8 @@
 	// Version and Adapter, when not empty, require a version of the model and a loaded adapter.
 	Version string
 	Adapter string
+	// Origin is what began the request's stream, which can go on only at endpoints that it allows.
+	Origin continuation.Origin
 	// Exclude names endpoints that must not be chosen, such as those that failed this request.
 	Exclude []string
 	// SuspectFingerprint is the fingerprint of a suspect, a request that was in progress at an endpoint when it crashed; 0 for other requests.
@@ -47,6 +50,8 @@
 type Choice struct {
 	Endpoint apitypes.Endpoint
 	Instance string
+	// SoftwareVersion is the version of the endpoint's software; empty if unknown.
+	SoftwareVersion string
 	// PredictedFirstTokenTime is the predicted time to the first token.
 	PredictedFirstTokenTime time.Duration
 	// CachedTokens is the expected number of prompt tokens in the endpoint's prefix cache.
--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -182,7 +182,7 @@
 	delta.Requests++
 	b.pendingDeltas[s.Name] = delta
 	return &Choice{
-		Endpoint: s.Endpoint.Endpoint, Instance: s.Load.Instance, CachedTokens: c.cachedTokens,
+		Endpoint: s.Endpoint.Endpoint, Instance: s.Load.Instance, SoftwareVersion: s.Load.SoftwareVersion, CachedTokens: c.cachedTokens,
 		PredictedFirstTokenTime: time.Duration(c.firstTokenSeconds * float64(time.Second)),
 		balancer:                b, state: s, work: w, suspectFingerprint: r.SuspectFingerprint, probe: probe, inPrefill: true,
 	}
--- a/internal/balancer/state.go
+++ b/internal/balancer/state.go
@@ -299,6 +299,8 @@
 		return false
 	case r.Version != "" && s.Load.Version != r.Version:
 		return false
+	case !r.Origin.Allows(s.pool.name, s.Load.SoftwareVersion):
+		return false
 	case r.Adapter != "" && !slices.Contains(s.Load.Adapters, r.Adapter):
 		return false
 	}
--- a/internal/capacity/endpoint.go
+++ b/internal/capacity/endpoint.go
@@ -24,7 +24,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", engine)
 	mux.HandleFunc("GET /v1/load", func(w http.ResponseWriter, _ *http.Request) {
-		_ = json.NewEncoder(w).Encode(apitypes.Load{Endpoint: name, Role: apitypes.RoleMixed, Model: model, Version: "1",
+		_ = json.NewEncoder(w).Encode(apitypes.Load{Endpoint: name, Role: apitypes.RoleMixed, Model: model, Version: "1", SoftwareVersion: "1",
 			Running: 20 + rand.IntN(30), Waiting: rand.IntN(4), Slots: busySlots, QueuedPrefillTokens: rand.IntN(8000),
 			KVFree: rand.IntN(busyKVBlocks), KVTotal: busyKVBlocks, PrefillRate: 8000, DecodeRate: 1500, Instance: name + "-1"})
 	})
--- a/internal/controller/admin/controllers.go
+++ b/internal/controller/admin/controllers.go
@@ -82,5 +82,5 @@
 func endpointLoadFromMessage(m *peerpb.EndpointLoad) endpointLoad {
 	return endpointLoad{apitypes.Load{Role: apitypes.Role(m.Role), Model: m.Model, Version: m.Version, Adapters: m.Adapters, Running: int(m.Running),
 		Waiting: int(m.Waiting), Slots: int(m.Slots), QueuedPrefillTokens: int(m.QueuedPrefillTokens), KVFree: int(m.KvFree),
-		KVTotal: int(m.KvTotal), PrefillRate: m.PrefillRate, DecodeRate: m.DecodeRate, Instance: m.Instance, AgeMS: m.AgeMs}, m.NoNewWork}
+		KVTotal: int(m.KvTotal), PrefillRate: m.PrefillRate, DecodeRate: m.DecodeRate, Instance: m.Instance, SoftwareVersion: m.SoftwareVersion, AgeMS: m.AgeMs}, m.NoNewWork}
 }
--- a/internal/controller/collector.go
+++ b/internal/controller/collector.go
@@ -248,7 +248,7 @@
 	return &peerpb.EndpointLoad{NoNewWork: l.Changing || l.Draining, Role: string(l.Role), Model: l.Model, Version: l.Version,
 		Running: int32(l.Running), Waiting: int32(l.Waiting), QueuedPrefillTokens: int64(l.QueuedPrefillTokens), KvFree: int32(l.KVFree),
 		KvTotal: int32(l.KVTotal), PrefillRate: l.PrefillRate, DecodeRate: l.DecodeRate, Slots: int32(l.Slots), Adapters: l.Adapters,
-		Instance: l.Instance}
+		Instance: l.Instance, SoftwareVersion: l.SoftwareVersion}
 }
 
 // followCacheEvents follows an endpoint's cache events until ctx ends. Each new stream is expected to start with event 0; one
--- a/internal/controller/loadserver.go
+++ b/internal/controller/loadserver.go
@@ -264,7 +264,7 @@
 func sameDescription(a, b *peerpb.EndpointLoad) bool {
 	return a.Name == b.Name && a.Pool == b.Pool && a.Addr == b.Addr && a.FailureDomain == b.FailureDomain && a.Class == b.Class &&
 		a.State == b.State && a.NoNewWork == b.NoNewWork && a.ReclaimAt == b.ReclaimAt && a.Role == b.Role && a.Model == b.Model &&
-		a.Version == b.Version && a.KvTotal == b.KvTotal && a.Slots == b.Slots && a.Instance == b.Instance &&
+		a.Version == b.Version && a.KvTotal == b.KvTotal && a.Slots == b.Slots && a.Instance == b.Instance && a.SoftwareVersion == b.SoftwareVersion &&
 		slices.Equal(a.Adapters, b.Adapters) && sameRate(a.PrefillRate, b.PrefillRate) && sameRate(a.DecodeRate, b.DecodeRate)
 }
 
--- a/internal/controller/loadsubscriber.go
+++ b/internal/controller/loadsubscriber.go
@@ -321,7 +321,7 @@
 		Load: apitypes.Load{Endpoint: m.Name, Role: apitypes.Role(m.Role), Model: m.Model, Version: m.Version, Adapters: m.Adapters,
 			Running: int(m.Running), Waiting: int(m.Waiting), Slots: int(m.Slots), QueuedPrefillTokens: int(m.QueuedPrefillTokens),
 			KVFree: int(m.KvFree), KVTotal: int(m.KvTotal), PrefillRate: m.PrefillRate, DecodeRate: m.DecodeRate,
-			Instance: m.Instance, AgeMS: m.AgeMs},
+			Instance: m.Instance, SoftwareVersion: m.SoftwareVersion, AgeMS: m.AgeMs},
 		NoNewWork:  m.NoNewWork,
 		ReportedAt: time.Now().Add(-time.Duration(m.AgeMs) * time.Millisecond),
 	}
--- a/internal/gateway/model_test.go
+++ b/internal/gateway/model_test.go
@@ -58,13 +58,16 @@
 }
 
 // preferFirstEngine makes the second engine appear busy to a gateway, so that the first engine gets the request.
-func preferFirstEngine(o *Options, h *harness) {
-	load, err := o.Endpoints.Load(h.t.Context(), h.pools[0].Endpoints[1].Addr)
+func preferFirstEngine(o *Options, h *harness) { h.makeBusy(o, h.pools[0].Endpoints[1]) }
+
+// makeBusy makes an engine appear busy to a gateway.
+func (h *harness) makeBusy(o *Options, e apitypes.Endpoint) {
+	load, err := o.Endpoints.Load(h.t.Context(), e.Addr)
 	if err != nil {
 		h.t.Fatal(err)
 	}
 	load.QueuedPrefillTokens = 1e6
-	o.Balancer.UpdateEndpoint("llm", balancer.Endpoint{Endpoint: h.pools[0].Endpoints[1], Load: load, ReportedAt: time.Now()})
+	o.Balancer.UpdateEndpoint("llm", balancer.Endpoint{Endpoint: e, Load: load, ReportedAt: time.Now()})
 }
 
 // Guards against a failed answer that is reported as complete or as not run.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -11,6 +11,7 @@
 	"crocusglade.example/crocusglade/internal/apierror"
 	"crocusglade.example/crocusglade/internal/apitypes"
 	"crocusglade.example/crocusglade/internal/balancer"
+	"crocusglade.example/crocusglade/internal/continuation"
 	"crocusglade.example/crocusglade/internal/endpoint"
 )
 
@@ -62,7 +63,11 @@
 				break
 			}
 		}
-		if next, last = s.attempt(ctx, choice); last == nil {
+		if next, last = s.attempt(ctx, choice); next != nil && !s.m.placement.Origin.Allows(s.m.pool.Name, next.SoftwareVersion) {
+			next.Done(balancer.Outcome{}) // chosen before the stream began
+			next = nil
+		}
+		if last == nil {
 			s.complete(ctx)
 			return
 		}
@@ -204,11 +209,22 @@
 	}
 	if !s.begun {
 		s.begun = true
+		s.pinSoftwareVersion()
 		s.a.begin(http.StatusOK, http.Header{"Content-Type": {eventStreamType}, "Cache-Control": {"no-store"}})
 	}
 	s.a.write([]byte("data: "), chunk.Data, []byte("\n\n"))
 }
 
+// pinSoftwareVersion limits the rest of the stream to engines of the software version that begins it.
+func (s *streamRun) pinSoftwareVersion() {
+	if s.current == nil {
+		return
+	}
+	origin := continuation.Begun(s.m.pool.Name, s.current.softwareVersion)
+	s.m.placement.Origin = origin
+	s.current.origin.Store(&origin)
+}
+
 // recordSent sets maybeSent unless the error rules out that a byte was sent.
 func (s *streamRun) recordSent(err error) {
 	if e := endpoint.AsError(err); e == nil || e.MaybeSent {
--- a/internal/gateway/stream_migration.go
+++ b/internal/gateway/stream_migration.go
@@ -10,6 +10,7 @@
 
 	"crocusglade.example/crocusglade/internal/apitypes"
 	"crocusglade.example/crocusglade/internal/balancer"
+	"crocusglade.example/crocusglade/internal/continuation"
 )
 
 const (
@@ -25,8 +26,10 @@
 
 // streamAttempt is the part of a stream's current attempt that a migration needs.
 type streamAttempt struct {
-	endpoint  string
-	placement balancer.Request
+	endpoint, softwareVersion string
+	placement                 balancer.Request
+	// origin is set when the stream begins in this attempt; nil before, and if it began in an earlier one.
+	origin atomic.Pointer[continuation.Origin]
 	// migrateOnDrain is true when the team's template has its streams migrate away from draining endpoints.
 	migrateOnDrain bool
 	// migratable is true while another engine could continue the output so far.
@@ -85,6 +88,9 @@
 		}
 		placement := attempt.placement
 		placement.Exclude = append(placement.Exclude[:len(placement.Exclude):len(placement.Exclude)], attempt.endpoint)
+		if origin := attempt.origin.Load(); origin != nil {
+			placement.Origin = *origin
+		}
 		target, err := g.opts.Balancer.Choose(placement)
 		if err != nil {
 			continue
@@ -108,7 +114,7 @@
 func (s *streamRun) registerAttempt(ctx context.Context, choice *balancer.Choice) (context.Context, *streamAttempt) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	migrateOnDrain := s.m.template != nil && s.m.template.Retire == apitypes.RetireMove
-	attempt := &streamAttempt{endpoint: choice.Endpoint.Name, placement: s.m.placement, migrateOnDrain: migrateOnDrain, cancel: cancel}
+	attempt := &streamAttempt{endpoint: choice.Endpoint.Name, softwareVersion: choice.SoftwareVersion, placement: s.m.placement, migrateOnDrain: migrateOnDrain, cancel: cancel}
 	attempt.migratable.Store(s.textOnly && !s.finishReasonSent && s.migrations < maxMigrations)
 	s.g.streams.add(attempt)
 	return ctx, attempt
--- a/internal/measure/engine_test.go
+++ b/internal/measure/engine_test.go
@@ -244,7 +244,7 @@
 	defer e.mu.Unlock()
 	rate, slots := e.rates()
 	l := apitypes.Load{
-		Role: e.role, Running: e.running, Waiting: len(e.waiting), Slots: slots, Changing: e.changing,
+		Role: e.role, SoftwareVersion: "1", Running: e.running, Waiting: len(e.waiting), Slots: slots, Changing: e.changing,
 		Instance: e.Name + "#" + string(rune('0'+e.instance)),
 	}
 	if e.kind.serviceTime == 0 {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -29,11 +29,13 @@
 
 // EngineConfig configures an Engine. Zero fields take defaults.
 type EngineConfig struct {
-	Name     string
-	Model    string
-	Version  string
-	Role     apitypes.Role
-	Adapters []string
+	Name    string
+	Model   string
+	Version string
+	// SoftwareVersion is the version of the engine's software; empty stands for "1".
+	SoftwareVersion string
+	Role            apitypes.Role
+	Adapters        []string
 	// Slots is the number of requests that run at once.
 	Slots int
 	// KVBlocks is the size of the KV cache in blocks; one KV block holds one prefix block.
--- a/internal/standin/engine_control.go
+++ b/internal/standin/engine_control.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
 	"slices"
@@ -97,7 +98,7 @@
 		KVFree: e.cfg.KVBlocks - e.kvBlocksUsed, KVTotal: e.cfg.KVBlocks,
 		PrefillRate: e.cfg.PrefillRate * roleFactor(c.role, apitypes.RolePrefill),
 		DecodeRate:  e.cfg.DecodeRate * roleFactor(c.role, apitypes.RoleDecode),
-		Instance:    e.instance, Changing: c.changing, Draining: c.draining,
+		Instance:    e.instance, SoftwareVersion: cmp.Or(e.cfg.SoftwareVersion, "1"), Changing: c.changing, Draining: c.draining,
 	}})
 	cutoff := now.Add(-e.cfg.LoadLag)
 	for len(e.loadSamples) > 1 && !e.loadSamples[1].at.After(cutoff) {
