--- /dev/null
+++ b/internal/continuation/tracker_test.go
@@ -0,0 +1,124 @@
+package continuation
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"crocusglade.example/crocusglade/internal/catalog"
+)
+
+// fakePeers answers for other VMs, and records what they are told.
+type fakePeers struct {
+	noPeers
+	replies []Reply
+	told    []Stream
+}
+
+func (p *fakePeers) Tell(streams []Stream)                    { p.told = append(p.told, streams...) }
+func (p *fakePeers) Ask(context.Context, string, Key) []Reply { return p.replies }
+func (p *fakePeers) Alone() bool                              { return false }
+
+func engine(id, version string, startedAtMS int64) catalog.Endpoint {
+	return catalog.Endpoint{ID: id, Service: "llm", SoftwareVersion: version, StartedAtMS: startedAtMS}
+}
+
+// newTestTracker returns a tracker that has read the store's record and whose list of endpoints has the given age.
+func newTestTracker(p *fakePeers, listAge time.Duration, recorded Record, endpoints ...catalog.Endpoint) *Tracker {
+	t := NewTracker()
+	t.Peers, t.ListAge = p, func() time.Duration { return listAge }
+	if recorded != nil {
+		t.SetRecord(recorded)
+	}
+	t.SetEndpoints(endpoints)
+	return t
+}
+
+// Guards against a VM that takes a version for the only one of a service when it can't be sure: its list is old, it hasn't read the record, the record or
+// another VM knows a second version, or the service isn't known.
+func TestUnknownStreamIsNotGuessed(t *testing.T) {
+	one, two := Record{"llm": {"1"}}, Record{"llm": {"1", "2"}}
+	for name, c := range map[string]struct {
+		age      time.Duration
+		recorded Record
+		replies  []Reply
+		service  string
+		want     string
+	}{
+		"one version, recent list":            {0, one, nil, "llm", "1"},
+		"old list, nobody answers":            {time.Minute, one, nil, "llm", ""},
+		"old list, confirmed":                 {time.Minute, one, []Reply{{SoleVersion: "1"}, {SoleVersion: "1"}}, "llm", "1"},
+		"old list, one VM knows more":         {time.Minute, one, []Reply{{SoleVersion: "1"}, {}}, "llm", ""},
+		"old list, another version elsewhere": {time.Minute, one, []Reply{{SoleVersion: "2"}}, "llm", ""},
+		"record not read":                     {0, nil, nil, "llm", ""},
+		"two versions recorded":               {0, two, []Reply{{}}, "llm", ""},
+		"another VM knows the stream":         {0, two, []Reply{{}, {Stream: &Stream{Key: 1, Service: "llm", Version: "2"}}}, "llm", "2"},
+		"another VM knows that it is unknown": {0, two, []Reply{{Stream: &Stream{Key: 1, Service: "llm"}}}, "llm", ""},
+		"several services":                    {0, one, []Reply{{SoleVersion: "1"}}, "", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := newTestTracker(&fakePeers{replies: c.replies}, c.age, c.recorded, engine("a", "1", 1))
+			origin, known := tracker.TakeUp(t.Context(), c.service, 1)
+			if known != (c.want != "") || origin.Version != c.want {
+				t.Errorf("origin %+v, known %v, want version %q", origin, known, c.want)
+			}
+		})
+	}
+}
+
+// Guards against streams of an endpoint that restarted with another software version under its id, counted as of the old one.
+func TestStreamsNearRestartAreDoubted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := newTestTracker(&fakePeers{}, 0, Record{}, engine("a", "1", 1), engine("b", "1", 1))
+		begin := func(k Key, endpoint string) {
+			tracker.Begin(Stream{Key: k, Service: "llm", Version: "1", Endpoint: endpoint, StartedAtMS: 1}, false)
+		}
+		begin(1, "a")
+		begin(2, "b")
+		tracker.SetEndpoints([]catalog.Endpoint{engine("a", "2", 2), engine("b", "1", 2)})
+		if o, known := tracker.Known(1); !known || o.Allows("llm", "1") || o.Allows("llm", "2") {
+			t.Errorf("origin of the stream of the endpoint with another version: %+v", o)
+		}
+		if o, known := tracker.Known(2); !known || !o.Allows("llm", "1") {
+			t.Errorf("origin of the stream of the endpoint with the same version: %+v", o)
+		}
+		if _, known := tracker.TakeUp(t.Context(), "llm", 1); known {
+			t.Error("a doubted stream is known")
+		}
+	})
+}
+
+// Guards against streams that other VMs aren't told of because they began while the service had one version, and against a journal that keeps streams for
+// ever, misses some, or grows while there is one version.
+func TestSecondVersionSharesStreams(t *testing.T) {
+	peers := &fakePeers{}
+	tracker := newTestTracker(peers, 0, Record{}, engine("a", "1", 1))
+	tracker.Begin(Stream{Key: 1, Service: "llm", Version: "1"}, false)
+	if _, changed := tracker.Journal(); changed || len(peers.told) > 0 {
+		t.Error("a stream of the only version was shared")
+	}
+	tracker.MergeSeenVersions([]SeenVersion{{Service: "llm", Version: "2", Age: time.Second}})
+	if len(peers.told) != 1 || peers.told[0].Key != 1 {
+		t.Errorf("told %v", peers.told)
+	}
+	tracker.Begin(Stream{Key: 2, Service: "llm", Version: "2"}, false)
+	journal, changed := tracker.Journal()
+	if !changed || len(peers.told) != 2 {
+		t.Errorf("journal changed %v, told %v", changed, peers.told)
+	}
+	restarted := newTestTracker(&fakePeers{}, 0, Record{"llm": {"1", "2"}}, engine("a", "1", 1))
+	if err := restarted.LoadJournal(journal); err != nil {
+		t.Fatal(err)
+	}
+	if o, known := restarted.TakeUp(t.Context(), "llm", 2); !known || o.Version != "2" {
+		t.Errorf("origin after a restart: %+v", o)
+	}
+	if err := restarted.LoadJournal(Journal{"llm": {"1": {1, 2, 3}}}); err == nil {
+		t.Error("a journal with half a key was accepted")
+	}
+	tracker.MergeSeenVersions([]SeenVersion{{Service: "old", Version: "1", Age: 2 * versionRetention}})
+	if _, ok := tracker.versions["old"]; ok {
+		t.Error("a version that is gone for long counts")
+	}
+}
