--- a/internal/node/watch_source.go
+++ b/internal/node/watch_source.go
@@ -76,8 +76,8 @@
 }
 
 // selectRelay returns the VM from which this VM reads a kind, and false if it reads from the store: if fewer than storeWatchers VMs that come
-// before it in rank do. After a failure of the store it reads from any VM that still can. It never reads from a VM that reads from another one: two that read from
-// each other would both take old objects for recent ones.
+// before it in rank do. After a failure of the store it reads from any VM that still can. It never reads from a VM that reads from another
+// one: two that read from each other would both take old objects for recent ones.
 func (n *Node) selectRelay(kind string) (vmAddress, bool) {
 	if bootclock.Since(lastFailure(&n.storeFailedAt, kind)) < storeFailureBackoff {
 		watchers := n.recentWatchers(kind, maxAgeAfterFailure)
