--- a/internal/ingress/continuation.go
+++ b/internal/ingress/continuation.go
@@ -23,8 +23,8 @@
 // remedyBeginAgain is for callers whose stream can't go on.
 const remedyBeginAgain = "send the request again without the id of the last event, to begin a new stream"
 
-// streams reports whether the response is a stream that may go on at another endpoint, or at the request of a caller.
-func (c *call) streams() bool { return c.route.Semantics == catalog.Stream || c.hasPrompt() }
+// answersWithStream reports whether the response is a stream of events, or one to a prompt.
+func (c *call) answersWithStream() bool { return c.route.Semantics == catalog.Stream || c.hasPrompt() }
 
 // streamKey returns the key of the request's stream: that of the request that began it, if the caller takes it up.
 func (c *call) streamKey() continuation.Key {
@@ -36,7 +36,7 @@
 
 // takeUp sets the origin and the service of a stream that the caller takes up, or returns the error of one whose origin isn't known.
 func (c *call) takeUp() (*apierror.Error, time.Duration) {
-	if c.r.ResumeAfter == "" || !c.streams() {
+	if c.r.ResumeAfter == "" || !c.answersWithStream() {
 		return nil, 0
 	}
 	service := ""
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -311,7 +311,7 @@
 	defer cancel()
 	c.ctx, c.buffers = ctx, s.bufferMemory.Reserve(c.service)
 	defer c.buffers.Release()
-	if c.route.Semantics == catalog.Stream || c.hasPrompt() {
+	if c.answersWithStream() {
 		c.serveStream()
 		return
 	}
