continuation: streams that callers take up without naming them are not one stream

A caller that took a stream up with Last-Event-Id and without Resumes was sent on at a version that another such caller's stream had gone on at, while two versions were in service: all of a team's unnamed streams had the same key.

Cause: the key was made of the team and an empty request ID, and a take-up records the stream that it goes on with. Found by reading the diff.

Change: a stream without a name has no key; it isn't kept or told to other VMs, and goes on only while its service has had one version.

--- a/internal/continuation/log.go
+++ b/internal/continuation/log.go
@@ -20,8 +20,16 @@
 // Key identifies a stream by its team and the request that brought its first event.
 type Key uint64
 
-// NewKey returns the key of a team's request.
-func NewKey(team, requestID string) Key { return Key(xxhash.Sum64String(team + "\x00" + requestID)) }
+// NoKey stands for the key of a stream that nobody names. Such streams aren't kept.
+const NoKey Key = 0
+
+// NewKey returns the key of a team's request, NoKey without a request.
+func NewKey(team, requestID string) Key {
+	if requestID == "" {
+		return NoKey
+	}
+	return Key(xxhash.Sum64String(team + "\x00" + requestID))
+}
 
 // Stream is a stream that an endpoint began. Version is empty if it isn't known.
 type Stream struct {
--- a/internal/continuation/tracker.go
+++ b/internal/continuation/tracker.go
@@ -208,7 +208,7 @@
 	t.addStreamLocked(s)
 	_, sole := t.soleLocked(s.Service)
 	t.mu.Unlock()
-	if !sole || severalServices {
+	if s.Key != NoKey && (!sole || severalServices) {
 		t.Peers.Tell([]Stream{s})
 	}
 }
@@ -223,6 +223,9 @@
 }
 
 func (t *Tracker) addStreamLocked(s Stream) {
+	if s.Key == NoKey {
+		return
+	}
 	t.log.add(s)
 	if t.versions.mixed(s.Service) {
 		t.journal = append(t.journal, loggedStream{s, bootclock.Now()})
