--- a/internal/ingress/continuation.go
+++ b/internal/ingress/continuation.go
@@ -66,7 +66,7 @@
 // filter returns the endpoints that may be selected for the request now.
 func (c *call) filter() placement.Filter {
 	if c.origin.HasBegun() {
-		// The endpoint that began the stream may have turned out to be of another version.
+		// A restart of the endpoint that began the stream makes the version unknown.
 		if origin, known := c.Streams.Known(c.streamKey()); known {
 			c.origin = origin
 		}
