--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -9,22 +9,12 @@
 type play func(recordPath string, trouble bool) int
 
 func main() {
-	cases := map[string][]play{"revoked-key": {revokedKey}, "duties": {sameToken, twoBills}, "extra-answer": {extraAnswer},
-		"thawed-machine": {thawedMachine}, "frozen-at-release": {frozenAtRelease}, "poison": {poison}}
+	cases := map[string]play{"revoked-key": revokedKey, "same-token": sameToken, "two-bills": twoBills,
+		"thawed-machine": thawedMachine, "frozen-at-release": frozenAtRelease, "poison": poison}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig3 CASE RECORD")
 		os.Exit(2)
 	}
 	os.Remove(os.Args[2])
-	result := 0
-	for _, p := range cases[os.Args[1]] {
-		switch code := p(os.Args[2], os.Getenv("TROUBLE") != "0"); {
-		case code == 2:
-			finish(2)
-		case code == 1:
-			result = 1
-		}
-		endProcesses()
-	}
-	finish(result)
+	finish(cases[os.Args[1]](os.Args[2], os.Getenv("TROUBLE") != "0"))
 }
