--- a/review/rig3/fence.go
+++ b/review/rig3/fence.go
@@ -76,6 +76,11 @@
 	time.Sleep(15 * time.Second)
 	close(stop)
 
+	return w.judgeTokens()
+}
+
+// judgeTokens returns 1 if two holders have sent the same fencing token.
+func (w *world) judgeTokens() int {
 	// ONE: two holders send the same fencing token for the same duty.
 	holders := map[int64]map[string]bool{}
 	highest, lower := int64(0), 0
@@ -108,3 +113,45 @@
 	}
 	return 0
 }
+
+// drillAlone plays case 12 without restarts. The candidate of the last rank reads the lease every 12 s, and so not between the copy and the drill.
+func drillAlone(recordPath string, trouble bool) int {
+	w := newWorld(recordPath, 4)
+	defer w.keepLogs()
+	services := []map[string]any{{"name": "quayside", "connection_limit": 100}}
+	w.addService("quayside", 3, 21)
+	w.store.set("config", "main", config(1, []map[string]any{route("log-lookup", "/lookup/", "safe", "quayside")}, services,
+		map[string][]string{"tenant-a": {"key-a-1"}, "tenant-b": {"key-b-1"}}))
+	last := w.nodes[2] // the last by name starts last, so that another one gets the lease first
+	w.nodes = append(append([]*nodeProcess{}, w.nodes[:2]...), w.nodes[3])
+	w.startNodes()
+	time.Sleep(200 * time.Millisecond)
+	last.start()
+	w.nodes = append(w.nodes, last)
+	stop := make(chan struct{})
+	for _, n := range w.nodes {
+		go func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(400 * time.Millisecond):
+				}
+				w.send(n, "GET", "/lookup/2f", "key-a-1", "")
+			}
+		}()
+	}
+	time.Sleep(6 * time.Second)
+	copied := w.store.backup()
+	w.rec.log("store: copy taken at revision %d", copied.revision)
+	time.Sleep(4 * time.Second)
+	if trouble {
+		w.rec.log("store: away")
+		w.store.setAway(true)
+		time.Sleep(time.Second)
+		w.store.restore(copied)
+	}
+	time.Sleep(30 * time.Second)
+	close(stop)
+	return w.judgeTokens()
+}
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -9,7 +9,7 @@
 type play func(recordPath string, trouble bool) int
 
 func main() {
-	cases := map[string]play{"revoked-key": revokedKey, "same-token": sameToken, "two-bills": twoBills,
+	cases := map[string]play{"revoked-key": revokedKey, "same-token": sameToken, "drill-alone": drillAlone, "two-bills": twoBills,
 		"thawed-machine": thawedMachine, "frozen-at-release": frozenAtRelease, "poison": poison}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig3 CASE RECORD")
